--- a/src/bin/limerock-wirehost.rs
+++ b/src/bin/sparbank-simhost.rs
@@ -1,7 +1,7 @@
 //! Hosts instances of the decision module on the wire: a batch a line in, a reply a line out.
 #![forbid(unsafe_code)]
 
-use limerock::wire::Host;
+use sparbank::wire::Host;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
@@ -30,6 +30,6 @@
 }
 
 fn stop(why: &str) -> ExitCode {
-    eprintln!("limerock-wirehost: {why}");
+    eprintln!("sparbank-simhost: {why}");
     ExitCode::FAILURE
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
-//! limerock makes the decisions of a balancer for long-lived connections.
+//! sparbank makes the decisions of a balancer for long-lived connections.
 //!
 //! A relay tells a [`Balancer`] what happens and does what it answers. Here one request meets a server
 //! that cannot be reached, sleeps, and is placed on the other:
 //!
 //! ```
-//! use limerock::interface::*;
-//! use limerock::Balancer;
+//! use sparbank::interface::*;
+//! use sparbank::Balancer;
 //!
 //! const SECOND: Nanos = 1_000_000_000;
 //! let class = Class {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! Settings and events for the tests of the module.
 #![allow(dead_code)]
 
-use limerock::interface::*;
-use limerock::Balancer;
+use sparbank::interface::*;
+use sparbank::Balancer;
 
 pub const MS: Nanos = 1_000_000;
 pub const S: Nanos = 1_000_000_000;
--- a/tests/host.rs
+++ b/tests/host.rs
@@ -5,7 +5,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(lines: &[String]) -> Output {
-    let mut host = Command::new(env!("CARGO_BIN_EXE_limerock-wirehost"))
+    let mut host = Command::new(env!("CARGO_BIN_EXE_sparbank-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use limerock::interface::*;
-use limerock::Balancer;
+use sparbank::interface::*;
+use sparbank::Balancer;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use limerock::interface::*;
+use sparbank::interface::*;
 use std::collections::BTreeMap;
 
 fn final_answers(actions: &[Action]) -> usize {
@@ -359,7 +359,7 @@
 
 #[test]
 fn settings_that_cannot_be_right_are_refused_by_name() {
-    let refused = |settings: Settings| limerock::Balancer::new(1, settings).err().map(|e| e.field);
+    let refused = |settings: Settings| sparbank::Balancer::new(1, settings).err().map(|e| e.field);
     assert_eq!(refused(Settings { classes: vec![], ..settings() }), Some("classes"));
     assert_eq!(refused(Settings { max_attempts: 0, ..settings() }), Some("max_attempts"));
     assert_eq!(refused(Settings { instances: 0, ..settings() }), Some("instances"));
