--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,174 @@
+//! What a node is told at its start: `NODE_CONFIG` and the variables beside it.
+
+use crate::interface::{Nanos, Settings};
+use crate::service_table::List;
+use crate::wire;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::net::SocketAddr;
+
+/// The configuration of a node.
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    pub known: List,
+    pub settings: Settings,
+    pub facts: Facts,
+}
+
+/// What the fronts need of the settings and the module does not.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Facts {
+    #[serde(rename = "Profiles")]
+    pub classes: Vec<ClassName>,
+    #[serde(default)]
+    pub zones: Vec<String>,
+    pub limits: DialLimits,
+    #[serde(default)]
+    pub family_info: Notes,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct ClassName {
+    pub name: String,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct DialLimits {
+    /// A connection that is not up after this has failed.
+    #[serde(default = "dial_timeout")]
+    pub dial_timeout_ns: Nanos,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub struct Notes {
+    /// The module wants to know how long messages take.
+    pub tells_delay: bool,
+}
+
+fn dial_timeout() -> Nanos {
+    250_000_000
+}
+
+#[derive(Deserialize)]
+struct File<'a> {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    limits: Limits,
+    known: List,
+    #[serde(borrow)]
+    settings: &'a RawValue,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+/// The AMQP front's own file, such as `deploy/amqp.json`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AmqpConfig {
+    /// Where AMQP terminals connect; port 0 lets the system pick one.
+    pub listen: SocketAddr,
+    /// The largest frame taken, in octets.
+    #[serde(default = "max_frame")]
+    pub max_frame: u32,
+    /// The most links on one connection.
+    #[serde(default = "max_links")]
+    pub max_links: u32,
+    /// The largest message taken, in octets.
+    #[serde(default = "max_message")]
+    pub max_message: usize,
+    /// Connections that are silent for this long are closed.
+    #[serde(default = "idle_ms")]
+    pub idle_ms: u32,
+    /// Where regions speak AMQP, by instance id. A region that is not named is met at discovery's address.
+    #[serde(default)]
+    pub regions: std::collections::HashMap<String, SocketAddr>,
+}
+
+fn max_frame() -> u32 {
+    16 * 1024
+}
+
+fn max_links() -> u32 {
+    16
+}
+
+fn max_message() -> usize {
+    64 * 1024
+}
+
+fn idle_ms() -> u32 {
+    10_000
+}
+
+impl Config {
+    /// Reads `NODE_CONFIG`; `NODE_NAME`, `NODE_LISTEN` and `NODE_DISCOVERY` win where they are set.
+    pub fn from_env() -> Result<Config, String> {
+        let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG: not set".to_string())?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+        let mut config = Config::parse(&text).map_err(|e| format!("{path}: {e}"))?;
+        if let Ok(name) = std::env::var("NODE_NAME") {
+            config.name = name;
+        }
+        config.listen = address("NODE_LISTEN", config.listen)?;
+        config.discovery = address("NODE_DISCOVERY", config.discovery)?;
+        Ok(config)
+    }
+
+    /// Decodes the text of the file.
+    pub fn parse(text: &str) -> Result<Config, String> {
+        let file: File = wire::parse(text)?;
+        let in_settings = |e: String| e.replacen("field ", "field settings.", 1);
+        let settings = wire::settings_from(file.settings.get()).map_err(in_settings)?;
+        settings.check().map_err(|e| format!("field settings.{}: {}", e.field, e.problem))?;
+        let seed = if file.seed.is_empty() {
+            0
+        } else {
+            u64::from_str_radix(&file.seed, 16).map_err(|e| format!("field seed: {e}"))?
+        };
+        Ok(Config {
+            name: file.name,
+            listen: file.listen,
+            discovery: file.discovery,
+            seed,
+            sockets: file.limits.sockets,
+            known: file.known,
+            settings,
+            facts: wire::parse(file.settings.get()).map_err(in_settings)?,
+        })
+    }
+}
+
+impl AmqpConfig {
+    /// Reads the AMQP front's file.
+    pub fn read(path: &std::path::Path) -> Result<AmqpConfig, String> {
+        let name = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+        let config: AmqpConfig = wire::parse(&text).map_err(|e| format!("{name}: {e}"))?;
+        if config.max_frame < 512 {
+            return Err(format!("{name}: field max_frame: at least 512"));
+        }
+        Ok(config)
+    }
+}
+
+fn address(variable: &str, otherwise: SocketAddr) -> Result<SocketAddr, String> {
+    match std::env::var(variable) {
+        Ok(text) => text.parse().map_err(|e| format!("{variable}: {e}")),
+        Err(_) => Ok(otherwise),
+    }
+}
--- /dev/null
+++ b/src/core.rs
@@ -0,0 +1,341 @@
+//! Transactions and their routed tasks, on no wire in particular.
+//!
+//! Fronts report what happened; the events wait until [`Core::decide`] hands them to the balancer in
+//! one go. A transaction is in the map only while it may still be answered or ended, and its state
+//! holds at most one routed task: a second answer finds no transaction, a second attempt no room.
+
+use crate::balance::Balancer;
+use crate::counters::Counters;
+use crate::interface::*;
+use std::collections::HashMap;
+
+/// Which front a transaction came through.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Front {
+    /// The platform's lines of text.
+    Text,
+    /// AMQP 1.0.
+    Amqp,
+}
+
+/// What the node has to carry out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Start the one routed task of a transaction, for at most this long.
+    Start { front: Front, txn: RequestId, region: ServerId, wait: Nanos },
+    /// Stop the routed task of a transaction: its time is up or it was recalled.
+    Stop { front: Front, txn: RequestId },
+    /// The final answer: refused, come again after this.
+    Refuse { front: Front, txn: RequestId, cool_down: Nanos },
+    /// The final answer: failed.
+    Fail { front: Front, txn: RequestId },
+    /// Ask the terminal of a standing connection to come again.
+    Move { front: Front, txn: RequestId },
+    /// Wake the balancer.
+    Timer { after: Nanos, token: u64 },
+    /// Start a watch on the service table.
+    Subscribe,
+    /// A line for the people on call.
+    Log(String),
+}
+
+#[derive(Clone, Copy)]
+enum State {
+    /// No routed task is out.
+    Waiting,
+    /// One is out, since then.
+    Trying { region: ServerId, since: Nanos, shot: u32 },
+    /// It stands.
+    Up { region: ServerId },
+}
+
+struct Transaction {
+    front: Front,
+    class: usize,
+    began: Nanos,
+    deadline: Nanos,
+    shots: u32,
+    state: State,
+}
+
+/// A flow that ended, as it is exported.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Flow {
+    pub txn: RequestId,
+    pub front: Front,
+    pub class: usize,
+    pub region: Option<ServerId>,
+    pub began: Nanos,
+    pub ended: Nanos,
+    pub attempts: u32,
+    pub result: FlowResult,
+}
+
+/// How a flow ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FlowResult {
+    Served = 1,
+    Refused = 2,
+    Failed = 3,
+    Left = 4,
+    Moved = 5,
+    Broken = 6,
+}
+
+/// The core.
+pub struct Core {
+    balancer: Balancer,
+    transactions: HashMap<RequestId, Transaction>,
+    next: u64,
+    inbox: Vec<Event>,
+    /// Flows that ended, where they are to be exported.
+    pub flows: Option<Vec<Flow>>,
+    pub counters: Counters,
+}
+
+impl Core {
+    pub fn new(seed: u64, settings: Settings) -> Result<Core, SettingsError> {
+        Ok(Core {
+            balancer: Balancer::new(seed, settings)?,
+            transactions: HashMap::new(),
+            next: 0,
+            inbox: Vec::new(),
+            flows: None,
+            counters: Counters::default(),
+        })
+    }
+
+    fn admit(&mut self, now: Nanos, front: Front, arrival: &mut Arrival, state: State) -> RequestId {
+        self.next += 1;
+        arrival.id = RequestId(self.next);
+        let deadline = now.saturating_add(arrival.grace);
+        let (class, began) = (arrival.class, now);
+        let transaction = Transaction { front, class, began, deadline, shots: 0, state };
+        self.transactions.insert(arrival.id, transaction);
+        arrival.id
+    }
+
+    /// A transaction comes in; its id is dealt here.
+    pub fn arrive(&mut self, now: Nanos, front: Front, mut arrival: Arrival) -> RequestId {
+        self.counters.taken += 1;
+        let id = self.admit(now, front, &mut arrival, State::Waiting);
+        self.inbox.push(Event::Request(arrival));
+        id
+    }
+
+    /// A connection that stood before this node started stands again: no placement.
+    pub fn resume(&mut self, now: Nanos, front: Front, mut arrival: Arrival, region: ServerId) -> RequestId {
+        self.counters.resumed += 1;
+        let id = self.admit(now, front, &mut arrival, State::Up { region });
+        self.inbox.push(Event::Resumed(arrival, region));
+        id
+    }
+
+    /// The routed task stands: from here on the terminal has its answer.
+    pub fn up(&mut self, now: Nanos, id: RequestId) {
+        let Some(t) = self.transactions.get_mut(&id) else { return };
+        let State::Trying { region: server, since, .. } = t.state else { return };
+        t.state = State::Up { region: server };
+        self.counters.up += 1;
+        self.counters.served += 1;
+        self.inbox.push(Event::Established { id, server, waited: now.saturating_sub(since) });
+    }
+
+    /// The routed task, or the connection that it became, is over. True if that was the final answer.
+    pub fn task_ended(&mut self, now: Nanos, id: RequestId, outcome: Outcome) -> bool {
+        let Some(t) = self.transactions.get_mut(&id) else { return false };
+        let (server, done) = match t.state {
+            State::Waiting => return false,
+            State::Trying { region, .. } => {
+                t.state = State::Waiting;
+                self.counters.task(outcome);
+                (region, outcome == Outcome::Ok)
+            }
+            State::Up { region } => (region, true),
+        };
+        if done {
+            let result = match (outcome, t.state) {
+                (Outcome::Ok | Outcome::Cancelled, _) => FlowResult::Served,
+                _ => FlowResult::Broken,
+            };
+            if matches!(t.state, State::Up { .. }) {
+                self.counters.ended += 1;
+            } else {
+                self.counters.up += 1;
+                self.counters.served += 1;
+            }
+            self.finish(now, id, Some(server), result);
+        }
+        self.inbox.push(Event::Response { id, server, outcome, done });
+        done
+    }
+
+    /// The terminal left; the front has dropped the routed task, if one was out.
+    pub fn left(&mut self, now: Nanos, id: RequestId) {
+        let Some(t) = self.transactions.get(&id) else { return };
+        let (outcome, done) = (Outcome::Cancelled, true);
+        match t.state {
+            State::Waiting => {
+                self.counters.left += 1;
+                self.inbox.push(Event::Vanished(id));
+                self.finish(now, id, None, FlowResult::Left);
+            }
+            State::Trying { region: server, .. } => {
+                self.counters.left += 1;
+                self.counters.task(outcome);
+                self.inbox.push(Event::Vanished(id));
+                self.inbox.push(Event::Response { id, server, outcome, done });
+                self.finish(now, id, Some(server), FlowResult::Left);
+            }
+            State::Up { region: server } => {
+                self.counters.ended += 1;
+                self.inbox.push(Event::Response { id, server, outcome, done });
+                self.finish(now, id, Some(server), FlowResult::Served);
+            }
+        }
+    }
+
+    /// The node itself moves a standing connection: it leaves, or the region went silent.
+    pub fn moved(&mut self, now: Nanos, id: RequestId, outcome: Outcome) {
+        let Some(t) = self.transactions.get(&id) else { return };
+        if let State::Up { region: server } = t.state {
+            self.counters.moved += 1;
+            self.finish(now, id, Some(server), FlowResult::Moved);
+            self.inbox.push(Event::Response { id, server, outcome, done: true });
+        }
+    }
+
+    /// Anything else that the balancer is to hear: notes, lists, timers.
+    pub fn tell(&mut self, event: Event) {
+        self.inbox.push(event);
+    }
+
+    /// Milliseconds that a routed task may still wait are counted to here.
+    pub fn deadline(&self, id: RequestId) -> Option<Nanos> {
+        self.transactions.get(&id).map(|t| t.deadline)
+    }
+
+    /// The region of the routed task that is out or stands.
+    pub fn region(&self, id: RequestId) -> Option<ServerId> {
+        match self.transactions.get(&id)?.state {
+            State::Waiting => None,
+            State::Trying { region, .. } | State::Up { region } => Some(region),
+        }
+    }
+
+    /// The time-out of a routed task has come: says whether that very task is still out.
+    pub fn timed_out(&mut self, now: Nanos, id: RequestId, shot: u32) -> Option<Front> {
+        let t = self.transactions.get(&id)?;
+        match t.state {
+            State::Trying { shot: out, .. } if out == shot => {
+                let front = t.front;
+                self.task_ended(now, id, Outcome::Timeout);
+                Some(front)
+            }
+            _ => None,
+        }
+    }
+
+    /// The number of the latest routed task, for its time-out.
+    pub fn shot(&self, id: RequestId) -> u32 {
+        self.transactions.get(&id).map_or(0, |t| t.shots)
+    }
+
+    /// Transactions that stand, oldest first.
+    pub fn standing(&self) -> Vec<(RequestId, Front)> {
+        let up = |(id, t): (&RequestId, &Transaction)| {
+            matches!(t.state, State::Up { .. }).then_some((*id, t.front))
+        };
+        let mut standing: Vec<_> = self.transactions.iter().filter_map(up).collect();
+        standing.sort_unstable_by_key(|(id, _)| *id);
+        standing
+    }
+
+    /// Whether nothing is open any more.
+    pub fn is_idle(&self) -> bool {
+        self.transactions.is_empty()
+    }
+
+    /// Hands the balancer all that was reported and says what it wants done.
+    pub fn decide(&mut self, now: Nanos) -> Vec<Command> {
+        let mut commands = Vec::new();
+        let mut actions = Vec::new();
+        while !self.inbox.is_empty() {
+            for event in std::mem::take(&mut self.inbox) {
+                self.balancer.handle(now, event, &mut actions);
+            }
+            for action in actions.drain(..) {
+                commands.extend(self.carry_out(now, action));
+            }
+        }
+        commands
+    }
+
+    fn carry_out(&mut self, now: Nanos, action: Action) -> Option<Command> {
+        match action {
+            Action::Try { id, server, give_up } => {
+                let Some(t) = self.transactions.get_mut(&id).filter(|t| matches!(t.state, State::Waiting))
+                else {
+                    let (outcome, done) = (Outcome::Moot, true);
+                    self.inbox.push(Event::Response { id, server, outcome, done });
+                    return None;
+                };
+                t.shots += 1;
+                t.state = State::Trying { region: server, since: now, shot: t.shots };
+                self.counters.sent += 1;
+                let wait = give_up.min(t.deadline.saturating_sub(now));
+                Some(Command::Start { front: t.front, txn: id, region: server, wait })
+            }
+            Action::Recall { id, .. } => {
+                let front = self.transactions.get(&id)?.front;
+                self.task_ended(now, id, Outcome::Cancelled);
+                Some(Command::Stop { front, txn: id })
+            }
+            Action::Decline { id, cool_down } => {
+                let front = self.answer(now, id, FlowResult::Refused)?;
+                self.counters.refused += 1;
+                Some(Command::Refuse { front, txn: id, cool_down })
+            }
+            Action::Fail(id) => {
+                let front = self.answer(now, id, FlowResult::Failed)?;
+                self.counters.failed += 1;
+                Some(Command::Fail { front, txn: id })
+            }
+            Action::GoAway(id) => {
+                let front = self.transactions.get(&id)?.front;
+                self.moved(now, id, Outcome::Cancelled);
+                Some(Command::Move { front, txn: id })
+            }
+            Action::Timer { after, token } => Some(Command::Timer { after, token }),
+            Action::Subscribe => Some(Command::Subscribe),
+            Action::Log(words) => Some(Command::Log(words)),
+        }
+    }
+
+    /// The final answer of a transaction that has no routed task out.
+    fn answer(&mut self, now: Nanos, id: RequestId, result: FlowResult) -> Option<Front> {
+        let t = self.transactions.get(&id)?;
+        if !matches!(t.state, State::Waiting) {
+            return None;
+        }
+        let front = t.front;
+        self.finish(now, id, None, result);
+        Some(front)
+    }
+
+    fn finish(&mut self, now: Nanos, id: RequestId, region: Option<ServerId>, result: FlowResult) {
+        let Some(t) = self.transactions.remove(&id) else { return };
+        if let Some(flows) = &mut self.flows {
+            flows.push(Flow {
+                txn: id,
+                front: t.front,
+                class: t.class,
+                region,
+                began: t.began,
+                ended: now,
+                attempts: t.shots,
+                result,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/counters.rs
@@ -0,0 +1,77 @@
+//! What the node took in, sent and answered, printed on SIGUSR1 and at exit.
+
+use crate::interface::Outcome;
+use std::fmt;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
+        /// Counts since the start.
+        #[derive(Clone, Debug, Default, PartialEq, Eq)]
+        pub struct Counters { $($(#[$doc])* pub $name: u64),* }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "counters")?;
+                $(write!(f, concat!(" ", stringify!($name), "={}"), self.$name)?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Transactions taken in.
+    taken,
+    /// Connections handed over at the start of a run.
+    resumed,
+    /// Routed tasks sent.
+    sent,
+    /// Of these: the region took it.
+    up,
+    /// Answered served.
+    served,
+    /// Answered refused.
+    refused,
+    /// Answered failed.
+    failed,
+    /// The terminal left before an answer.
+    left,
+    /// Standing connections ended by either side.
+    ended,
+    /// Standing connections moved by this node.
+    moved,
+    /// Routed tasks that ended in an error answer.
+    task_error,
+    /// Turned away by the region.
+    task_full,
+    /// Gave no answer in time.
+    task_timeout,
+    /// Could not connect.
+    task_connect_failed,
+    /// Broke after the last byte was written.
+    task_reset,
+    /// Called off.
+    task_cancelled,
+    /// First lines or deliveries that could not be read.
+    malformed,
+    /// Turned away because descriptors run short.
+    over_budget,
+    /// Failed calls to discovery and lost watches.
+    list_failed,
+}
+
+impl Counters {
+    /// Counts how a routed task ended before it stood.
+    pub fn task(&mut self, outcome: Outcome) {
+        let count = match outcome {
+            Outcome::Ok | Outcome::Moot => return,
+            Outcome::Error => &mut self.task_error,
+            Outcome::Full => &mut self.task_full,
+            Outcome::Timeout => &mut self.task_timeout,
+            Outcome::ConnectFailed => &mut self.task_connect_failed,
+            Outcome::Reset => &mut self.task_reset,
+            Outcome::Cancelled => &mut self.task_cancelled,
+        };
+        *count += 1;
+    }
+}
--- /dev/null
+++ b/src/front/text.rs
@@ -0,0 +1,602 @@
+//! The platform's protocol: lines of text over TCP.
+//!
+//! A terminal's first line opens a transaction. Once its region has said `UP`, lines pass both ways.
+//! Only whole lines go to a terminal, so that `MOVE` can always follow.
+
+use super::{Ctx, Due, ANSWER_MARGIN};
+use crate::config::Facts;
+use crate::core::Front;
+use crate::interface::*;
+use crate::net::{Kind, Notice, Owner, Token, SLOW};
+use crate::wire::tag;
+use std::collections::HashMap;
+use std::ops::Range;
+
+/// The longest line, its end included.
+const MOST_LINE: usize = 4096;
+/// A terminal that has sent no first line by then is closed.
+const FIRST_LINE_WITHIN: Nanos = 10_000_000_000;
+/// A line of the terminal's that a standing region leaves unanswered for this long: the terminal is
+/// moved. Terminals send one every 2 s and the rule allows 7 s from the last answer.
+const SILENT_AFTER: Nanos = 4_500_000_000;
+/// A region that was told of its terminal's end has this long to end its own side.
+const HALF_OPEN: Nanos = 2_000_000_000;
+
+/// A terminal's first line.
+#[derive(Debug, PartialEq)]
+struct Open {
+    line: String,
+    /// Where the value of `d` stands.
+    d: Option<Range<usize>>,
+    class: usize,
+    grace: Nanos,
+    key: u64,
+    came_back: bool,
+    hint: Option<Nanos>,
+    at: Option<String>,
+}
+
+#[derive(Debug, PartialEq)]
+enum FirstLine {
+    Ping,
+    Open(Open),
+}
+
+impl Open {
+    fn parse(line: &str, facts: &Facts, limits: &[Class]) -> Option<Open> {
+        let mut words = line.split(' ');
+        let (verb, id, key, list) = (words.next()?, words.next()?, words.next()?, words.next()?);
+        if verb != "OPEN" || id.is_empty() || key.is_empty() || words.next().is_some() {
+            return None;
+        }
+        let (mut class, mut wait, mut d, mut at) = (None, None, None, None);
+        let (mut came_back, mut hint) = (false, None);
+        let mut start = line.len() - list.len();
+        for pair in list.split(',') {
+            let (name, value) = pair.split_once('=')?;
+            match name {
+                "c" => class = facts.classes.iter().position(|c| c.name == value),
+                "d" => {
+                    wait = Some(value.parse::<u32>().ok()?);
+                    d = Some(start + 2..start + pair.len());
+                }
+                "again" => came_back = value == "1",
+                "at" => at = Some(value.to_string()),
+                "h" => hint = load(value),
+                _ => {}
+            }
+            start += pair.len() + 1;
+        }
+        let class = class?;
+        let grace = wait.map_or(limits.get(class)?.hard_limit, |ms| u64::from(ms) * 1_000_000);
+        let key = u64::from_str_radix(key, 16).unwrap_or_else(|_| tag(key));
+        Some(Open { line: line.to_string(), d, class, grace, key, came_back, hint, at })
+    }
+
+    /// The line for the region: as it came, but for how long the node will wait.
+    fn for_region(&self, wait: Nanos) -> String {
+        match &self.d {
+            Some(d) => {
+                let ms = (wait / 1_000_000).max(1);
+                format!("{}{ms}{}\r\n", &self.line[..d.start], &self.line[d.end..])
+            }
+            None => format!("{}\r\n", self.line),
+        }
+    }
+}
+
+/// A load in microseconds of work a second.
+fn load(text: &str) -> Option<Nanos> {
+    let micros: f64 = text.parse().ok()?;
+    (micros.is_finite() && micros >= 0.0).then_some((micros * 1e3) as Nanos)
+}
+
+enum Side {
+    /// Accepted; nothing said.
+    Fresh,
+    /// A terminal with a transaction.
+    Terminal,
+    /// The routed task of that terminal.
+    Task(Token),
+}
+
+struct Session {
+    open: Open,
+    /// None while a connection from before the run is being restored.
+    txn: Option<RequestId>,
+    region: Option<ServerId>,
+    task: Option<Token>,
+    up: bool,
+    /// The oldest line that the region has not answered.
+    asked: Option<Nanos>,
+    /// The region's last line, where it says how the connection ends.
+    last: Ending,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Ending {
+    Broken,
+    Bye,
+    Moved,
+}
+
+/// How long messages take at a region, for notes once a second.
+#[derive(Default, Clone, Copy)]
+struct Delay {
+    latest: Option<Nanos>,
+    busy: bool,
+}
+
+/// The front.
+pub struct TextFront {
+    limits: Vec<Class>,
+    sides: HashMap<Token, Side>,
+    sessions: HashMap<Token, Session>,
+    terminals: HashMap<RequestId, Token>,
+    delays: HashMap<ServerId, Delay>,
+    noted: Nanos,
+}
+
+impl TextFront {
+    pub fn new(limits: Vec<Class>) -> TextFront {
+        TextFront {
+            limits,
+            sides: HashMap::new(),
+            sessions: HashMap::new(),
+            terminals: HashMap::new(),
+            delays: HashMap::new(),
+            noted: 0,
+        }
+    }
+
+    /// Whether no terminal is held.
+    pub fn is_idle(&self) -> bool {
+        self.sessions.is_empty()
+    }
+
+    /// Something happened at one of this front's sockets.
+    pub fn notice(&mut self, ctx: &mut Ctx, notice: Notice) {
+        let token = notice.token;
+        if notice.kind == Kind::Accepted {
+            self.sides.insert(token, Side::Fresh);
+            ctx.wheel.at(ctx.now + FIRST_LINE_WITHIN, Due::Idle(Owner::Text, token));
+            return;
+        }
+        let broken = match notice.kind {
+            Kind::Broken(remains) => Some(remains.all_written),
+            _ => None,
+        };
+        match self.sides.get(&token) {
+            None => ctx.net.close(token),
+            Some(Side::Fresh) => self.fresh(ctx, token, broken.is_some()),
+            Some(Side::Terminal) => self.terminal(ctx, token, broken.is_some()),
+            Some(Side::Task(terminal)) => {
+                let terminal = *terminal;
+                self.task(ctx, terminal, token, broken);
+            }
+        }
+        ctx.net.rearm(token);
+    }
+
+    // ---- The terminal's side -------------------------------------------------------------------
+
+    fn fresh(&mut self, ctx: &mut Ctx, token: Token, broken: bool) {
+        while let Some(input) = ctx.net.input(token) {
+            match take_line(input) {
+                Line::None if broken || ctx.net.at_end(token) => {
+                    self.sides.remove(&token);
+                    return ctx.net.close(token);
+                }
+                Line::None => return,
+                Line::TooLong => return self.malformed(ctx, token),
+                Line::Whole(line) => {
+                    let text = std::str::from_utf8(&line).ok().map(str::trim_end);
+                    match text.and_then(|text| self.first_line(ctx.facts, text)) {
+                        Some(FirstLine::Ping) => ctx.net.send(token, b"PONG\r\n"),
+                        Some(FirstLine::Open(open)) => return self.open(ctx, token, open),
+                        None => return self.malformed(ctx, token),
+                    }
+                }
+            }
+        }
+    }
+
+    fn first_line(&self, facts: &Facts, text: &str) -> Option<FirstLine> {
+        if text == "PING" {
+            return Some(FirstLine::Ping);
+        }
+        Open::parse(text, facts, &self.limits).map(FirstLine::Open)
+    }
+
+    fn malformed(&mut self, ctx: &mut Ctx, token: Token) {
+        ctx.core.counters.malformed += 1;
+        self.answer(ctx, token, b"ERR\r\n");
+    }
+
+    fn open(&mut self, ctx: &mut Ctx, token: Token, open: Open) {
+        if ctx.net.is_short() {
+            ctx.core.counters.over_budget += 1;
+            return self.answer(ctx, token, b"BUSY 500\r\n");
+        }
+        let arrival = arrival(&open);
+        self.sides.insert(token, Side::Terminal);
+        let at = open.at.clone();
+        let (txn, region, task, up) = (None, None, None, false);
+        let session = Session { open, txn, region, task, up, asked: None, last: Ending::Broken };
+        self.sessions.insert(token, session);
+        match at {
+            Some(name) => self.restore(ctx, token, &name),
+            None => {
+                let txn = ctx.core.arrive(ctx.now, Front::Text, arrival);
+                self.terminals.insert(txn, token);
+                if let Some(session) = self.sessions.get_mut(&token) {
+                    session.txn = Some(txn);
+                }
+                self.terminal(ctx, token, false);
+            }
+        }
+    }
+
+    /// A connection open since before the run: it goes to the region that held it, not to a placement.
+    fn restore(&mut self, ctx: &mut Ctx, token: Token, name: &str) {
+        let Some(region) = ctx.table.named(name) else { return self.malformed(ctx, token) };
+        let wait = self.sessions.get(&token).map_or(0, |s| s.open.grace);
+        ctx.wheel.at(ctx.now + wait.saturating_sub(ANSWER_MARGIN), Due::Idle(Owner::Text, token));
+        if !self.dial(ctx, token, region, wait) {
+            self.answer(ctx, token, b"ERR\r\n");
+        }
+    }
+
+    /// Connects to a region and sends it the terminal's line.
+    fn dial(&mut self, ctx: &mut Ctx, terminal: Token, region: ServerId, wait: Nanos) -> bool {
+        let Some(session) = self.sessions.get_mut(&terminal) else { return true };
+        let Some(addr) = ctx.table.region(region).map(|r| r.addr) else { return false };
+        let Ok(task) = ctx.net.connect(addr, Owner::Text) else { return false };
+        ctx.net.send(task, session.open.for_region(wait).as_bytes());
+        ctx.wheel.at(ctx.now + ctx.facts.limits.dial_timeout_ns, Due::Dial(Owner::Text, task));
+        session.task = Some(task);
+        session.region = Some(region);
+        self.sides.insert(task, Side::Task(terminal));
+        true
+    }
+
+    fn terminal(&mut self, ctx: &mut Ctx, token: Token, broken: bool) {
+        let Some(session) = self.sessions.get_mut(&token) else { return };
+        if let (true, Some(task)) = (session.up, session.task) {
+            if ctx.net.unwritten(task) < SLOW {
+                let bytes = ctx.net.input(token).map(std::mem::take).unwrap_or_default();
+                if bytes.contains(&b'\n') {
+                    session.asked.get_or_insert(ctx.now);
+                }
+                ctx.net.send(task, &bytes);
+            }
+            if broken {
+                return self.end(ctx, token, Outcome::Cancelled, true);
+            }
+            if ctx.net.at_end(token) && ctx.net.input(token).is_none_or(|left| left.is_empty()) {
+                ctx.net.finish(task);
+                ctx.wheel.at(ctx.now + HALF_OPEN, Due::Idle(Owner::Text, token));
+            }
+        } else if broken || ctx.net.at_end(token) {
+            // It gave up. Its line is owed an answer as long as anyone may read one.
+            if let Some(txn) = session.txn {
+                ctx.core.left(ctx.now, txn);
+            }
+            self.answer(ctx, token, b"BUSY\r\n");
+        }
+    }
+
+    /// The final answer of a terminal that has none, and its end.
+    fn answer(&mut self, ctx: &mut Ctx, token: Token, answer: &[u8]) {
+        ctx.net.send(token, answer);
+        self.forget(ctx, token);
+        ctx.net.close(token);
+    }
+
+    /// Drops what is known of a terminal, and its routed task.
+    fn forget(&mut self, ctx: &mut Ctx, token: Token) {
+        self.sides.remove(&token);
+        if let Some(session) = self.sessions.remove(&token) {
+            if let Some(txn) = session.txn {
+                self.terminals.remove(&txn);
+            }
+            if let Some(task) = session.task {
+                self.sides.remove(&task);
+                ctx.net.close(task);
+            }
+        }
+    }
+
+    /// A standing connection is over: both sides end, the same way.
+    fn end(&mut self, ctx: &mut Ctx, terminal: Token, outcome: Outcome, by_reset: bool) {
+        let Some(session) = self.sessions.get(&terminal) else { return };
+        if let Some(txn) = session.txn {
+            ctx.core.task_ended(ctx.now, txn, outcome);
+        }
+        let task = session.task;
+        if by_reset {
+            for token in [Some(terminal), task].into_iter().flatten() {
+                if ctx.net.unwritten(token) == 0 {
+                    ctx.net.reset(token);
+                }
+            }
+        }
+        self.forget(ctx, terminal);
+        ctx.net.close(terminal);
+    }
+
+    // ---- The region's side ---------------------------------------------------------------------
+
+    fn task(&mut self, ctx: &mut Ctx, terminal: Token, task: Token, broken: Option<bool>) {
+        while let Some(session) = self.sessions.get_mut(&terminal) {
+            if session.task != Some(task) {
+                break;
+            }
+            if session.up && ctx.net.unwritten(terminal) >= SLOW {
+                return;
+            }
+            let Some(input) = ctx.net.input(task) else { break };
+            match take_line(input) {
+                Line::Whole(line) if session.up => pass(ctx, session, &mut self.delays, terminal, &line),
+                Line::Whole(line) => self.first_answer(ctx, terminal, &line),
+                Line::TooLong => {
+                    crate::log::line(format_args!("region-garbage reason=line-too-long"));
+                    return self.over(ctx, terminal, Outcome::Error, true);
+                }
+                Line::None => break,
+            }
+        }
+        if !self.sides.contains_key(&task) {
+            return;
+        }
+        let up = self.sessions.get(&terminal).is_some_and(|s| s.up);
+        match broken {
+            None if ctx.net.at_end(task) => {
+                if up {
+                    let rest = ctx.net.input(task).map(std::mem::take).unwrap_or_default();
+                    ctx.net.send(terminal, &rest);
+                }
+                let written = ctx.net.unwritten(task) == 0;
+                self.over(
+                    ctx,
+                    terminal,
+                    if written { Outcome::Reset } else { Outcome::ConnectFailed },
+                    false,
+                );
+            }
+            None if up => self.terminal(ctx, terminal, false),
+            None => {}
+            // Before its last byte was written the line cannot have run; after that it may have.
+            Some(false) if !up => self.over(ctx, terminal, Outcome::ConnectFailed, true),
+            Some(_) => self.over(ctx, terminal, Outcome::Reset, true),
+        }
+    }
+
+    fn first_answer(&mut self, ctx: &mut Ctx, terminal: Token, line: &[u8]) {
+        let Some(session) = self.sessions.get_mut(&terminal) else { return };
+        let word = line.split(|b| b.is_ascii_whitespace()).next().unwrap_or(b"");
+        if word == b"UP" {
+            match (session.txn, session.region) {
+                (Some(txn), _) => ctx.core.up(ctx.now, txn),
+                (None, Some(region)) => {
+                    let txn = ctx.core.resume(ctx.now, Front::Text, arrival(&session.open), region);
+                    session.txn = Some(txn);
+                    self.terminals.insert(txn, terminal);
+                }
+                (None, None) => return,
+            }
+            session.up = true;
+            ctx.net.send(terminal, line);
+            return self.terminal(ctx, terminal, false);
+        }
+        let outcome = match word {
+            b"BUSY" => Outcome::Full,
+            b"MOVE" => Outcome::Cancelled,
+            b"ERR" => Outcome::Error,
+            _ => {
+                crate::log::line(format_args!("region-garbage reason=first-line"));
+                Outcome::Error
+            }
+        };
+        self.over(ctx, terminal, outcome, false);
+    }
+
+    /// The routed task is over, before or after it stood.
+    fn over(&mut self, ctx: &mut Ctx, terminal: Token, outcome: Outcome, by_reset: bool) {
+        let Some(session) = self.sessions.get_mut(&terminal) else { return };
+        if session.up {
+            return match session.last {
+                Ending::Bye => self.end(ctx, terminal, Outcome::Ok, false),
+                Ending::Moved => self.end(ctx, terminal, Outcome::Cancelled, false),
+                Ending::Broken => self.end(ctx, terminal, Outcome::Reset, by_reset),
+            };
+        }
+        self.drop_task(ctx, terminal);
+        match self.sessions.get(&terminal).and_then(|s| s.txn) {
+            Some(txn) => {
+                ctx.core.task_ended(ctx.now, txn, outcome);
+            }
+            None if outcome == Outcome::Full => self.answer(ctx, terminal, b"BUSY\r\n"),
+            None => self.answer(ctx, terminal, b"ERR\r\n"),
+        }
+    }
+
+    fn drop_task(&mut self, ctx: &mut Ctx, terminal: Token) {
+        if let Some(session) = self.sessions.get_mut(&terminal) {
+            if let Some(task) = session.task.take() {
+                self.sides.remove(&task);
+                ctx.net.close(task);
+            }
+        }
+    }
+
+    // ---- What the core wants -------------------------------------------------------------------
+
+    pub fn start(&mut self, ctx: &mut Ctx, txn: RequestId, region: ServerId, wait: Nanos) {
+        let Some(terminal) = self.terminals.get(&txn).copied() else { return };
+        if !self.dial(ctx, terminal, region, wait) {
+            ctx.core.task_ended(ctx.now, txn, Outcome::ConnectFailed);
+        }
+    }
+
+    pub fn stop(&mut self, ctx: &mut Ctx, txn: RequestId) {
+        if let Some(terminal) = self.terminals.get(&txn).copied() {
+            self.drop_task(ctx, terminal);
+        }
+    }
+
+    pub fn refuse(&mut self, ctx: &mut Ctx, txn: RequestId, cool_down: Nanos) {
+        if let Some(terminal) = self.terminals.get(&txn).copied() {
+            let busy = match cool_down / 1_000_000 {
+                0 => "BUSY\r\n".to_string(),
+                ms => format!("BUSY {ms}\r\n"),
+            };
+            self.answer(ctx, terminal, busy.as_bytes());
+        }
+    }
+
+    pub fn fail(&mut self, ctx: &mut Ctx, txn: RequestId) {
+        if let Some(terminal) = self.terminals.get(&txn).copied() {
+            self.answer(ctx, terminal, b"ERR\r\n");
+        }
+    }
+
+    /// Asks a terminal to come again. The core has already let it go.
+    pub fn send_away(&mut self, ctx: &mut Ctx, txn: RequestId) {
+        if let Some(terminal) = self.terminals.get(&txn).copied() {
+            self.answer(ctx, terminal, b"MOVE\r\n");
+        }
+    }
+
+    // ---- Time ----------------------------------------------------------------------------------
+
+    /// A connection should be up by now.
+    pub fn dial_due(&mut self, ctx: &mut Ctx, task: Token) {
+        if let (true, Some(Side::Task(terminal))) = (ctx.net.is_connecting(task), self.sides.get(&task)) {
+            let terminal = *terminal;
+            self.over(ctx, terminal, Outcome::ConnectFailed, true);
+        }
+    }
+
+    /// A terminal's time is up: to send a first line, to stand again, or to end its other half.
+    pub fn idle_due(&mut self, ctx: &mut Ctx, token: Token) {
+        match self.sides.get(&token) {
+            Some(Side::Fresh) => {
+                self.sides.remove(&token);
+                ctx.net.close(token);
+            }
+            Some(Side::Terminal) => {
+                let Some(session) = self.sessions.get(&token) else { return };
+                if session.txn.is_none() {
+                    self.answer(ctx, token, b"ERR\r\n");
+                } else if session.up && ctx.net.at_end(token) {
+                    self.end(ctx, token, Outcome::Cancelled, false);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Regions that get nothing new: connections to them on which no byte has gone out are called off.
+    pub fn drained(&mut self, ctx: &mut Ctx, stopped: &[ServerId]) {
+        let unsent = |(terminal, s): (&Token, &Session)| {
+            let task = s.task.filter(|task| !s.up && !ctx.net.has_written(*task))?;
+            s.region.filter(|region| stopped.contains(region)).map(|_| (*terminal, task))
+        };
+        let unsent: Vec<_> = self.sessions.iter().filter_map(unsent).collect();
+        for (terminal, _) in unsent {
+            self.over(ctx, terminal, Outcome::ConnectFailed, true);
+        }
+    }
+
+    /// Once in a while: silent regions and notes of delay.
+    pub fn look(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now;
+        let silent =
+            |s: &Session| s.up && s.asked.is_some_and(|asked| now.saturating_sub(asked) > SILENT_AFTER);
+        let silent: Vec<RequestId> =
+            self.sessions.values().filter(|s| silent(s)).filter_map(|s| s.txn).collect();
+        for txn in silent {
+            ctx.core.moved(now, txn, Outcome::Reset);
+            self.send_away(ctx, txn);
+        }
+        if ctx.facts.family_info.tells_delay && now.saturating_sub(self.noted) >= 1_000_000_000 {
+            self.noted = now;
+            self.note_delays(ctx);
+        }
+    }
+
+    fn note_delays(&mut self, ctx: &mut Ctx) {
+        let aim = self.limits.iter().filter_map(|c| c.message_aim).min().unwrap_or(Nanos::MAX);
+        let mut notes: Vec<(ServerId, Nanos)> = Vec::new();
+        for (server, delay) in &mut self.delays {
+            let Some(latest) = delay.latest.take() else { continue };
+            let busy = latest > aim / 3;
+            if busy || delay.busy {
+                notes.push((*server, latest));
+            }
+            delay.busy = busy;
+        }
+        notes.sort_unstable();
+        for (server, delay) in notes {
+            ctx.core.tell(Event::DelayNote { server, delay });
+        }
+    }
+}
+
+/// Passes a region's line on and notes what it says.
+fn pass(
+    ctx: &mut Ctx,
+    session: &mut Session,
+    delays: &mut HashMap<ServerId, Delay>,
+    terminal: Token,
+    line: &[u8],
+) {
+    let text = line.trim_ascii_end();
+    session.last = match text {
+        b"BYE" => Ending::Bye,
+        b"MOVE" => Ending::Moved,
+        _ => Ending::Broken,
+    };
+    match (text.strip_prefix(b"LOAD "), session.txn) {
+        (Some(value), Some(id)) => {
+            if let Some(cost) = std::str::from_utf8(value).ok().and_then(load) {
+                ctx.core.tell(Event::LoadNote { id, cost });
+            }
+        }
+        _ => {
+            if let (Some(asked), Some(region)) = (session.asked.take(), session.region) {
+                let delay = delays.entry(region).or_default();
+                delay.latest = delay.latest.max(Some(ctx.now.saturating_sub(asked)));
+            }
+        }
+    }
+    ctx.net.send(terminal, line);
+}
+
+fn arrival(open: &Open) -> Arrival {
+    Arrival {
+        id: RequestId(0),
+        class: open.class,
+        grace: open.grace.saturating_sub(ANSWER_MARGIN),
+        cost: open.hint,
+        key: Some(open.key),
+        came_back: open.came_back,
+        rerouted: false,
+    }
+}
+
+enum Line {
+    None,
+    TooLong,
+    Whole(Vec<u8>),
+}
+
+/// Takes the first whole line, with its end.
+fn take_line(input: &mut Vec<u8>) -> Line {
+    match input.iter().position(|b| *b == b'\n') {
+        Some(at) if at < MOST_LINE => Line::Whole(input.drain(..=at).collect()),
+        None if input.len() < MOST_LINE => Line::None,
+        _ => Line::TooLong,
+    }
+}
--- /dev/null
+++ b/src/net/sockets.rs
@@ -0,0 +1,503 @@
+//! The sockets in a slab, watched by one epoll. Reads and writes go through bounded buffers; the
+//! fronts see notices and bytes.
+
+use crate::interface::Nanos;
+use rustix::event::{epoll, Timespec};
+use rustix::io::{read, write, Errno};
+use rustix::net::{sockopt, AddressFamily, Shutdown, SocketFlags, SocketType};
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+use std::time::Duration;
+
+/// Who hears of a socket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// The platform's front.
+    Text,
+    /// The AMQP front.
+    Amqp,
+    /// The service table's watch.
+    Table,
+    /// The pipe of a signal.
+    Signal,
+}
+
+/// A socket's place and its generation: a token outlives its socket without naming the next one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Token(u64);
+
+/// What happened at a socket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A listener took it in.
+    Accepted,
+    /// There are more bytes, or the peer has ended its sending ([`Net::at_end`]).
+    Readable,
+    /// All that was to be written is written, after it was not.
+    Drained,
+    /// The connection never came up or broke. The owner takes what it wants and closes it.
+    Broken(Remains),
+}
+
+/// What is left to know of a broken socket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Remains {
+    /// It had come up and all that was to be written had been.
+    pub all_written: bool,
+}
+
+/// A notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Notice {
+    pub token: Token,
+    pub owner: Owner,
+    pub kind: Kind,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    Listening,
+    Connecting,
+    Open,
+    /// It broke; what had come is still there for its owner, who then closes it.
+    Broken,
+    /// Ours is said; what the peer still sends is read and dropped, so that no reset eats the answer.
+    Lingering,
+}
+
+struct Socket {
+    fd: OwnedFd,
+    owner: Owner,
+    stage: Stage,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    written: u64,
+    at_end: bool,
+    finish: bool,
+    finished: bool,
+    interest: epoll::EventFlags,
+}
+
+/// No more than this is read ahead of who takes it.
+const READ_AHEAD: usize = 8 * 1024;
+/// Above this a peer is slow: its counterpart is not read on.
+pub const SLOW: usize = 32 * 1024;
+/// How long a lingering socket may take to hear the peer's end.
+const LINGER: Nanos = 2_000_000_000;
+/// How long accepting rests when descriptors have run out.
+const ACCEPT_REST: Nanos = 50_000_000;
+const BACKLOG: i32 = 1024;
+const ACCEPTS: usize = 64;
+
+/// All sockets of the node.
+pub struct Net {
+    epoll: OwnedFd,
+    slots: Vec<(u32, Option<Socket>)>,
+    free: Vec<u32>,
+    open: usize,
+    most: usize,
+    lingering: VecDeque<(Nanos, Token)>,
+    resting: Option<Nanos>,
+    pending: Vec<Notice>,
+    now: Nanos,
+}
+
+impl Net {
+    /// Sockets for a process that may hold this many descriptors.
+    pub fn new(most: usize) -> io::Result<Net> {
+        Ok(Net {
+            epoll: epoll::create(epoll::CreateFlags::CLOEXEC)?,
+            slots: Vec::new(),
+            free: Vec::new(),
+            open: 0,
+            most,
+            lingering: VecDeque::new(),
+            resting: None,
+            pending: Vec::new(),
+            now: 0,
+        })
+    }
+
+    /// Whether descriptors run short: what comes in now is to be turned away.
+    pub fn is_short(&self) -> bool {
+        self.open + self.most / 16 + 16 > self.most
+    }
+
+    /// Listens on an address; gives the address too, for a port that the system picked.
+    pub fn listen(&mut self, addr: SocketAddr, owner: Owner) -> io::Result<SocketAddr> {
+        let fd = socket(addr)?;
+        sockopt::set_socket_reuseaddr(&fd, true)?;
+        rustix::net::bind(&fd, &addr)?;
+        rustix::net::listen(&fd, BACKLOG)?;
+        let bound = SocketAddr::try_from(rustix::net::getsockname(&fd)?).map_err(|_| Errno::AFNOSUPPORT)?;
+        self.insert(fd, owner, Stage::Listening)?;
+        Ok(bound)
+    }
+
+    /// Stops listening for an owner.
+    pub fn stop_listening(&mut self, owner: Owner) {
+        for index in 0..self.slots.len() {
+            let (generation, socket) = &self.slots[index];
+            if socket.as_ref().is_some_and(|s| s.stage == Stage::Listening && s.owner == owner) {
+                self.drop_socket(token(*generation, index as u32));
+            }
+        }
+    }
+
+    /// Starts a connection. What is sent meanwhile is written once it is up.
+    pub fn connect(&mut self, addr: SocketAddr, owner: Owner) -> io::Result<Token> {
+        let fd = socket(addr)?;
+        sockopt::set_tcp_nodelay(&fd, true)?;
+        match rustix::net::connect(&fd, &addr) {
+            Ok(()) | Err(Errno::INPROGRESS) => {}
+            Err(error) => return Err(error.into()),
+        }
+        self.insert(fd, owner, Stage::Connecting)
+    }
+
+    /// Takes in a descriptor that is ready to be read, such as a signal's pipe.
+    pub fn adopt(&mut self, fd: OwnedFd, owner: Owner) -> io::Result<Token> {
+        rustix::io::ioctl_fionbio(&fd, true)?;
+        self.insert(fd, owner, Stage::Open)
+    }
+
+    /// The bytes that have come and not been taken.
+    pub fn input(&mut self, token: Token) -> Option<&mut Vec<u8>> {
+        self.get(token).map(|s| &mut s.input)
+    }
+
+    /// Whether the peer has ended its sending; bytes may still wait in [`Net::input`].
+    pub fn at_end(&self, token: Token) -> bool {
+        self.peek(token).is_some_and(|s| s.at_end)
+    }
+
+    /// Whether the connection has not come up yet.
+    pub fn is_connecting(&self, token: Token) -> bool {
+        self.peek(token).is_some_and(|s| s.stage == Stage::Connecting)
+    }
+
+    /// Bytes that are still to be written.
+    pub fn unwritten(&self, token: Token) -> usize {
+        self.peek(token).map_or(0, |s| s.output.len())
+    }
+
+    /// Whether any byte has been written.
+    pub fn has_written(&self, token: Token) -> bool {
+        self.peek(token).is_some_and(|s| s.written > 0)
+    }
+
+    /// Sends bytes, at once as far as the peer takes them.
+    pub fn send(&mut self, token: Token, bytes: &[u8]) {
+        let Some(socket) = self.get(token) else { return };
+        if socket.finish || socket.stage == Stage::Broken {
+            return;
+        }
+        let waiting = !socket.output.is_empty();
+        socket.output.extend_from_slice(bytes);
+        if !waiting && socket.stage == Stage::Open {
+            self.flush(token, false);
+        }
+        self.rearm(token);
+    }
+
+    /// Ends our sending once all is written.
+    pub fn finish(&mut self, token: Token) {
+        if let Some(socket) = self.get(token) {
+            socket.finish = true;
+            if socket.stage == Stage::Open {
+                self.flush(token, false);
+            }
+            self.rearm(token);
+        }
+    }
+
+    /// Ends the connection politely; the token is void for the owner. One that never came up is dropped.
+    pub fn close(&mut self, token: Token) {
+        let until = self.now + LINGER;
+        let Some(socket) = self.get(token) else { return };
+        if matches!(socket.stage, Stage::Connecting | Stage::Broken) {
+            return self.drop_socket(token);
+        }
+        socket.stage = Stage::Lingering;
+        socket.input = Vec::new();
+        socket.finish = true;
+        let over = socket.at_end;
+        self.flush(token, true);
+        if over && self.peek(token).is_some_and(|s| s.finished) {
+            return self.drop_socket(token);
+        }
+        self.rearm(token);
+        if self.peek(token).is_some() {
+            self.lingering.push_back((until, token));
+        }
+    }
+
+    /// Ends the connection with a reset, as its counterpart did.
+    pub fn reset(&mut self, token: Token) {
+        if let Some(socket) = self.peek(token) {
+            // A failure here leaves an ordinary close, which is an end as well.
+            let _ = sockopt::set_socket_linger(&socket.fd, Some(Duration::ZERO));
+        }
+        self.drop_socket(token);
+    }
+
+    /// Reads on where the owner has taken bytes.
+    pub fn rearm(&mut self, token: Token) {
+        let Some((generation, Some(socket))) = self.slots.get_mut(token.index()) else { return };
+        if *generation != token.generation() || socket.stage == Stage::Broken {
+            return;
+        }
+        let mut interest = epoll::EventFlags::empty();
+        let reads = socket.stage != Stage::Connecting && !socket.at_end;
+        if reads && (socket.input.len() < READ_AHEAD || socket.stage == Stage::Lingering) {
+            interest |= epoll::EventFlags::IN;
+        }
+        if socket.stage == Stage::Connecting || !socket.output.is_empty() {
+            interest |= epoll::EventFlags::OUT;
+        }
+        if interest != socket.interest {
+            socket.interest = interest;
+            let data = epoll::EventData::new_u64(token.0);
+            // It was added under this descriptor, so this cannot fail but for want of memory.
+            let _ = epoll::modify(&self.epoll, &socket.fd, data, interest);
+        }
+    }
+
+    /// Waits for at most this long and says what happened.
+    pub fn poll(&mut self, now: Nanos, wait: Nanos) -> io::Result<Vec<Notice>> {
+        self.now = now;
+        while self.lingering.front().is_some_and(|(until, _)| *until <= now) {
+            if let Some((_, token)) = self.lingering.pop_front() {
+                self.drop_socket(token);
+            }
+        }
+        if self.resting.is_some_and(|until| until <= now) {
+            self.resting = None;
+            self.arm_listeners(epoll::EventFlags::IN);
+        }
+        let wait = if self.pending.is_empty() { wait } else { 0 };
+        let wait = if self.resting.is_some() { wait.min(ACCEPT_REST) } else { wait };
+        let timeout =
+            Timespec { tv_sec: (wait / 1_000_000_000) as i64, tv_nsec: (wait % 1_000_000_000) as i64 };
+        let mut events: Vec<epoll::Event> = Vec::with_capacity(256);
+        match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut events), Some(&timeout)) {
+            Ok(_) | Err(Errno::INTR) => {}
+            Err(error) => return Err(error.into()),
+        }
+        for event in events {
+            self.ready(Token(event.data.u64()), event.flags);
+        }
+        Ok(std::mem::take(&mut self.pending))
+    }
+
+    fn ready(&mut self, token: Token, flags: epoll::EventFlags) {
+        let Some(socket) = self.get(token) else { return };
+        match socket.stage {
+            Stage::Listening => return self.accept(token),
+            Stage::Broken => return,
+            Stage::Connecting => {
+                if let Ok(Err(_)) | Err(_) = sockopt::socket_error(&socket.fd) {
+                    return self.broken(token);
+                }
+                if !flags.contains(epoll::EventFlags::OUT) {
+                    return;
+                }
+                socket.stage = Stage::Open;
+                self.flush(token, true);
+            }
+            Stage::Open | Stage::Lingering => {
+                let ended = socket.at_end;
+                if flags.contains(epoll::EventFlags::IN) {
+                    self.fill(token);
+                } else if flags.contains(epoll::EventFlags::ERR)
+                    || (ended && flags.contains(epoll::EventFlags::HUP))
+                {
+                    return self.broken(token);
+                }
+                if flags.contains(epoll::EventFlags::OUT) {
+                    self.flush(token, true);
+                }
+            }
+        }
+        self.rearm(token);
+    }
+
+    fn accept(&mut self, listener: Token) {
+        for _ in 0..ACCEPTS {
+            let Some(socket) = self.get(listener) else { return };
+            let owner = socket.owner;
+            match rustix::net::accept_with(&socket.fd, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC) {
+                Ok(fd) => {
+                    // Without it answers are late, no more.
+                    let _ = sockopt::set_tcp_nodelay(&fd, true);
+                    if let Ok(token) = self.insert(fd, owner, Stage::Open) {
+                        self.pending.push(Notice { token, owner, kind: Kind::Accepted });
+                    }
+                }
+                Err(Errno::AGAIN) => return,
+                Err(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM) => {
+                    // The listener stays readable: left armed, the loop would spin on it.
+                    self.resting = Some(self.now + ACCEPT_REST);
+                    return self.arm_listeners(epoll::EventFlags::empty());
+                }
+                // That connection is gone already; the next may not be.
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn arm_listeners(&mut self, interest: epoll::EventFlags) {
+        for (index, (generation, socket)) in self.slots.iter_mut().enumerate() {
+            if let Some(socket) = socket.as_mut().filter(|s| s.stage == Stage::Listening) {
+                socket.interest = interest;
+                let data = epoll::EventData::new_u64(token(*generation, index as u32).0);
+                let _ = epoll::modify(&self.epoll, &socket.fd, data, interest);
+            }
+        }
+    }
+
+    fn fill(&mut self, token: Token) {
+        let mut chunk = [0; READ_AHEAD];
+        let Some(socket) = self.get(token) else { return };
+        let lingers = socket.stage == Stage::Lingering;
+        let room = if lingers { READ_AHEAD } else { READ_AHEAD.saturating_sub(socket.input.len()) };
+        if room == 0 {
+            return;
+        }
+        match read(&socket.fd, &mut chunk[..room]) {
+            Ok(0) => {
+                socket.at_end = true;
+                if lingers && socket.finished {
+                    return self.drop_socket(token);
+                }
+                self.notice(token, Kind::Readable);
+            }
+            Ok(_) if lingers => {}
+            Ok(count) => {
+                socket.input.extend_from_slice(&chunk[..count]);
+                self.notice(token, Kind::Readable);
+            }
+            Err(Errno::AGAIN | Errno::INTR) => {}
+            Err(_) => self.broken(token),
+        }
+    }
+
+    /// Writes what can be written. Who is not in the middle of a call hears that it is all gone.
+    fn flush(&mut self, token: Token, tell: bool) {
+        let Some(socket) = self.get(token) else { return };
+        let had = !socket.output.is_empty();
+        while !socket.output.is_empty() {
+            match write(&socket.fd, &socket.output) {
+                Ok(count) => {
+                    socket.output.drain(..count);
+                    socket.written += count as u64;
+                }
+                Err(Errno::AGAIN) => return,
+                Err(Errno::INTR) => {}
+                Err(_) => return self.broken(token),
+            }
+        }
+        if socket.finish && !socket.finished {
+            socket.finished = true;
+            // A peer that is gone already needs no end.
+            let _ = rustix::net::shutdown(&socket.fd, Shutdown::Write);
+            if socket.stage == Stage::Lingering && socket.at_end {
+                return self.drop_socket(token);
+            }
+        }
+        if had && tell {
+            self.notice(token, Kind::Drained);
+        }
+    }
+
+    /// A peer may answer and reset before it has read our line: what it said is taken first.
+    fn broken(&mut self, token: Token) {
+        let Some((generation, Some(socket))) = self.slots.get_mut(token.index()) else { return };
+        if *generation != token.generation() || socket.stage == Stage::Broken {
+            return;
+        }
+        if socket.stage == Stage::Lingering {
+            return self.drop_socket(token);
+        }
+        let all_written = socket.stage != Stage::Connecting && socket.output.is_empty();
+        let mut chunk = [0; READ_AHEAD];
+        if let Ok(count) = read(&socket.fd, &mut chunk) {
+            socket.input.extend_from_slice(&chunk[..count]);
+        }
+        socket.stage = Stage::Broken;
+        // It is in the set, so this cannot fail.
+        let _ = epoll::delete(&self.epoll, &socket.fd);
+        self.notice(token, Kind::Broken(Remains { all_written }));
+    }
+
+    fn notice(&mut self, token: Token, kind: Kind) {
+        if let Some(socket) = self.peek(token).filter(|s| s.stage != Stage::Lingering) {
+            let owner = socket.owner;
+            self.pending.push(Notice { token, owner, kind });
+        }
+    }
+
+    fn insert(&mut self, fd: OwnedFd, owner: Owner, stage: Stage) -> io::Result<Token> {
+        let index = self.free.pop().unwrap_or_else(|| {
+            self.slots.push((0, None));
+            (self.slots.len() - 1) as u32
+        });
+        let interest =
+            if stage == Stage::Connecting { epoll::EventFlags::OUT } else { epoll::EventFlags::IN };
+        let token = token(self.slots[index as usize].0, index);
+        if let Err(error) = epoll::add(&self.epoll, &fd, epoll::EventData::new_u64(token.0), interest) {
+            self.free.push(index);
+            return Err(error.into());
+        }
+        let (input, output) = (Vec::new(), Vec::new());
+        let (at_end, finish, finished, written) = (false, false, false, 0);
+        let socket = Socket { fd, owner, stage, input, output, written, at_end, finish, finished, interest };
+        self.slots[index as usize].1 = Some(socket);
+        self.open += 1;
+        Ok(token)
+    }
+
+    fn drop_socket(&mut self, token: Token) {
+        if self.peek(token).is_none() {
+            return;
+        }
+        let (generation, socket) = &mut self.slots[token.index()];
+        *generation = generation.wrapping_add(1);
+        // Closing the last descriptor takes it out of the epoll set.
+        *socket = None;
+        self.free.push(token.index() as u32);
+        self.open -= 1;
+    }
+
+    fn peek(&self, token: Token) -> Option<&Socket> {
+        let (generation, socket) = self.slots.get(token.index())?;
+        socket.as_ref().filter(|_| *generation == token.generation())
+    }
+
+    fn get(&mut self, token: Token) -> Option<&mut Socket> {
+        let (generation, socket) = self.slots.get_mut(token.index())?;
+        socket.as_mut().filter(|_| *generation == token.generation())
+    }
+}
+
+impl Token {
+    fn index(self) -> usize {
+        (self.0 & 0xffff_ffff) as usize
+    }
+
+    fn generation(self) -> u32 {
+        (self.0 >> 32) as u32
+    }
+}
+
+fn token(generation: u32, index: u32) -> Token {
+    Token((u64::from(generation) << 32) | u64::from(index))
+}
+
+fn socket(addr: SocketAddr) -> io::Result<OwnedFd> {
+    let family = if addr.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+    Ok(rustix::net::socket_with(family, SocketType::STREAM, flags, None)?)
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,239 @@
+//! The loop: gathers what is ready, gives it to the core in one go, carries out what came back.
+
+use crate::config::Config;
+use crate::core::{Command, Core, Front};
+use crate::front::text::TextFront;
+use crate::front::{Ctx, Due};
+use crate::interface::*;
+use crate::log;
+use crate::net::{Kind, Net, Notice, Owner, Token, Wheel};
+use crate::service_table::ServiceTable;
+use std::io;
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// The loop looks after silent peers this often.
+const LOOK_EVERY: Nanos = 200_000_000;
+/// Standing terminals are sent away from this long after SIGTERM, while arrivals still come.
+const LEAVE_FROM: Nanos = 300_000_000;
+/// All of them have been told by then.
+const LEAVE_BY: Nanos = 2_000_000_000;
+/// What is left then is cut: SIGKILL may come 3.7 s after SIGTERM.
+const LEAVE_AT_LAST: Nanos = 3_200_000_000;
+const LEAVE_STEP: Nanos = 25_000_000;
+
+/// The module's clock: Unix time at the start, and from there on the steady clock.
+struct Clock {
+    start: Instant,
+    unix: Nanos,
+}
+
+impl Clock {
+    fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as Nanos);
+        Clock { start: Instant::now(), unix }
+    }
+
+    fn now(&self) -> Nanos {
+        self.unix + self.start.elapsed().as_nanos() as Nanos
+    }
+}
+
+struct Node {
+    clock: Clock,
+    net: Net,
+    core: Core,
+    table: ServiceTable,
+    wheel: Wheel<Due>,
+    config: Config,
+    text: TextFront,
+    signals: Signals,
+    leaving: Option<Nanos>,
+}
+
+struct Signals {
+    stop: Token,
+    print: Token,
+}
+
+macro_rules! ctx {
+    ($node:expr) => {
+        &mut Ctx {
+            now: $node.clock.now(),
+            net: &mut $node.net,
+            core: &mut $node.core,
+            table: &$node.table,
+            wheel: &mut $node.wheel,
+            facts: &$node.config.facts,
+        }
+    };
+}
+
+/// Serves until it is told to stop.
+pub fn serve(config: Config) -> Result<(), String> {
+    let at = |what: &str, e: io::Error| format!("{what}: {e}");
+    let mut net = Net::new(config.sockets).map_err(|e| at("epoll", e))?;
+    let signals = Signals {
+        stop: signal(&mut net, &[signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT])
+            .map_err(|e| at("signals", e))?,
+        print: signal(&mut net, &[signal_hook::consts::SIGUSR1]).map_err(|e| at("signals", e))?,
+    };
+    let mut core = Core::new(config.seed, config.settings.clone()).map_err(|e| e.to_string())?;
+    let mut table = ServiceTable::new(config.discovery, config.facts.zones.clone());
+    core.tell(table.saved(&config.known));
+    let listen = net.listen(config.listen, Owner::Text).map_err(|e| at("listen", e))?;
+    log::line(format_args!("started name={} listen={listen}", config.name));
+    let clock = Clock::new();
+    let mut wheel = Wheel::new(clock.now());
+    wheel.at(clock.now(), Due::Look);
+    let text = TextFront::new(config.settings.classes.clone());
+    Node { clock, net, core, table, wheel, config, text, signals, leaving: None }.run()
+}
+
+fn signal(net: &mut Net, signals: &[i32]) -> io::Result<Token> {
+    let (ours, theirs) = UnixStream::pair()?;
+    for signal in signals {
+        signal_hook::low_level::pipe::register(*signal, theirs.try_clone()?)?;
+    }
+    net.adopt(OwnedFd::from(ours), Owner::Signal)
+}
+
+impl Node {
+    fn run(mut self) -> Result<(), String> {
+        self.decide();
+        loop {
+            let now = self.clock.now();
+            let wait = self.wheel.next_in(now);
+            let notices = self.net.poll(now, wait).map_err(|e| format!("epoll: {e}"))?;
+            for notice in notices {
+                self.dispatch(notice);
+            }
+            for due in self.wheel.due(self.clock.now()) {
+                self.due(due);
+            }
+            self.decide();
+            if self.has_left() {
+                log::line(format_args!("{}", self.core.counters));
+                log::line(format_args!("stopped"));
+                return Ok(());
+            }
+        }
+    }
+
+    fn dispatch(&mut self, notice: Notice) {
+        match notice.owner {
+            Owner::Text => self.text.notice(ctx!(self), notice),
+            Owner::Amqp => {}
+            Owner::Table => {
+                let broken = matches!(notice.kind, Kind::Broken(_));
+                let now = self.clock.now();
+                for event in self.table.ready(now, &mut self.net, notice.token, broken) {
+                    self.listed(event);
+                }
+            }
+            Owner::Signal => {
+                if let Some(input) = self.net.input(notice.token) {
+                    input.clear();
+                }
+                self.net.rearm(notice.token);
+                if notice.token == self.signals.print {
+                    log::line(format_args!("{}", self.core.counters));
+                } else if notice.token == self.signals.stop && self.leaving.is_none() {
+                    log::line(format_args!("leaving standing={}", self.core.standing().len()));
+                    self.leaving = Some(self.clock.now());
+                    self.wheel.at(self.clock.now() + LEAVE_FROM, Due::Leave);
+                }
+            }
+        }
+    }
+
+    fn listed(&mut self, event: Event) {
+        if matches!(event, Event::Members(ListKind::Failed, _)) {
+            self.core.counters.list_failed += 1;
+        }
+        self.core.tell(event);
+        let stopped = self.table.stopped();
+        self.text.drained(ctx!(self), &stopped);
+    }
+
+    fn due(&mut self, due: Due) {
+        match due {
+            Due::Module(token) => self.core.tell(Event::Timer(token)),
+            Due::Task(txn, shot) => match self.core.timed_out(self.clock.now(), txn, shot) {
+                Some(Front::Text) => self.text.stop(ctx!(self), txn),
+                Some(Front::Amqp) | None => {}
+            },
+            Due::Dial(Owner::Text, token) => self.text.dial_due(ctx!(self), token),
+            Due::Idle(Owner::Text, token) => self.text.idle_due(ctx!(self), token),
+            Due::Dial(..) | Due::Idle(..) => {}
+            Due::Look => {
+                let now = self.clock.now();
+                if let Some(event) = self.table.check(now, &mut self.net) {
+                    self.listed(event);
+                }
+                self.text.look(ctx!(self));
+                self.wheel.at(now + LOOK_EVERY, Due::Look);
+            }
+            Due::Leave => self.leave(),
+        }
+    }
+
+    /// One step of leaving: of those that stand, so many are moved that all have been by the end.
+    fn leave(&mut self) {
+        let Some(since) = self.leaving else { return };
+        let now = self.clock.now();
+        let standing = self.core.standing();
+        let steps = (since + LEAVE_BY).saturating_sub(now) / LEAVE_STEP;
+        let count = standing.len().div_ceil(steps as usize + 1);
+        for (txn, front) in standing.into_iter().take(count) {
+            self.core.moved(now, txn, Outcome::Cancelled);
+            if front == Front::Text {
+                self.text.send_away(ctx!(self), txn);
+            }
+        }
+        self.wheel.at(now + LEAVE_STEP, Due::Leave);
+    }
+
+    fn has_left(&self) -> bool {
+        let Some(since) = self.leaving else { return false };
+        let gone = self.clock.now().saturating_sub(since);
+        gone >= LEAVE_AT_LAST || (gone >= LEAVE_BY && self.core.is_idle() && self.text.is_idle())
+    }
+
+    fn decide(&mut self) {
+        loop {
+            let now = self.clock.now();
+            let commands = self.core.decide(now);
+            if commands.is_empty() {
+                return;
+            }
+            for command in commands {
+                self.carry_out(now, command);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Nanos, command: Command) {
+        match command {
+            Command::Start { front, txn, region, wait } => {
+                self.wheel.at(now + wait, Due::Task(txn, self.core.shot(txn)));
+                if front == Front::Text {
+                    self.text.start(ctx!(self), txn, region, wait);
+                }
+            }
+            Command::Stop { txn, .. } => self.text.stop(ctx!(self), txn),
+            Command::Refuse { txn, cool_down, .. } => self.text.refuse(ctx!(self), txn, cool_down),
+            Command::Fail { txn, .. } => self.text.fail(ctx!(self), txn),
+            Command::Move { txn, .. } => self.text.send_away(ctx!(self), txn),
+            Command::Timer { after: 0, token } => self.core.tell(Event::Timer(token)),
+            Command::Timer { after, token } => self.wheel.at(now + after, Due::Module(token)),
+            Command::Subscribe => {
+                if let Some(event) = self.table.subscribe(now, &mut self.net) {
+                    self.listed(event);
+                }
+            }
+            Command::Log(words) => log::line(format_args!("module {words}")),
+        }
+    }
+}
--- /dev/null
+++ b/src/service_table.rs
@@ -0,0 +1,375 @@
+//! Discovery's list of regions: the watch, its parser, and what it means to the module.
+
+use crate::interface::*;
+use crate::net::{Net, Owner, Token};
+use crate::wire;
+use serde::Deserialize;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// A list as discovery writes it: all of it, or what changed.
+#[derive(Clone, Debug, Deserialize)]
+pub struct List {
+    generation: u64,
+    #[serde(default)]
+    reset: bool,
+    instances: Vec<Entry>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Entry {
+    instance_id: String,
+    host_port: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    cell: u32,
+    lifecycle: Lifecycle,
+    #[serde(default = "one")]
+    weight: f64,
+    #[serde(default)]
+    started_at_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Lifecycle {
+    Ready,
+    Draining,
+    Gone,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// A region, at the number that the module knows it by.
+pub struct Region {
+    pub name: String,
+    pub addr: SocketAddr,
+    pub serving: bool,
+}
+
+struct Watch {
+    token: Token,
+    heard: Nanos,
+    answer: Answer,
+    lists: u32,
+}
+
+/// A call that has brought nothing after this has failed.
+const ANSWER_WITHIN: Nanos = 2_000_000_000;
+/// A watch brings a line every 2 s: with none for this long it is dead. Told counts 6 s after at most.
+const LINE_WITHIN: Nanos = 4_200_000_000;
+
+/// The table.
+pub struct ServiceTable {
+    discovery: SocketAddr,
+    zones: Vec<String>,
+    generation: u64,
+    regions: Vec<Region>,
+    numbers: HashMap<String, ServerId>,
+    watch: Option<Watch>,
+}
+
+impl ServiceTable {
+    pub fn new(discovery: SocketAddr, zones: Vec<String>) -> ServiceTable {
+        let (regions, numbers) = (Vec::new(), HashMap::new());
+        ServiceTable { discovery, zones, generation: 0, regions, numbers, watch: None }
+    }
+
+    /// A region by its number.
+    pub fn region(&self, server: ServerId) -> Option<&Region> {
+        self.regions.get(server.0 as usize)
+    }
+
+    /// A region by discovery's name for it.
+    pub fn named(&self, name: &str) -> Option<ServerId> {
+        self.numbers.get(name).copied()
+    }
+
+    /// Regions that get nothing new.
+    pub fn stopped(&self) -> Vec<ServerId> {
+        let ids = (0..self.regions.len()).map(|at| ServerId(at as u32));
+        ids.filter(|id| !self.regions[id.0 as usize].serving).collect()
+    }
+
+    /// Takes the list that the node last held.
+    pub fn saved(&mut self, list: &List) -> Event {
+        Event::Members(ListKind::Saved, self.take(list, true))
+    }
+
+    /// Asks for changes from now on. An earlier watch ends.
+    pub fn subscribe(&mut self, now: Nanos, net: &mut Net) -> Option<Event> {
+        if let Some(watch) = self.watch.take() {
+            net.close(watch.token);
+        }
+        let Ok(token) = net.connect(self.discovery, Owner::Table) else { return Some(failed()) };
+        let (from, host) = (self.generation, self.discovery);
+        let ask = format!("GET /registry/instances?watch=1&from={from} HTTP/1.1\r\nHost: {host}\r\n\r\n");
+        net.send(token, ask.as_bytes());
+        self.watch = Some(Watch { token, heard: now, answer: Answer::default(), lists: 0 });
+        None
+    }
+
+    /// The watch's socket has something to say.
+    pub fn ready(&mut self, now: Nanos, net: &mut Net, token: Token, broken: bool) -> Vec<Event> {
+        let Some(watch) = self.watch.as_mut().filter(|w| w.token == token) else {
+            net.close(token);
+            return Vec::new();
+        };
+        let bytes = net.input(token).map(std::mem::take).unwrap_or_default();
+        let mut lists = Vec::new();
+        let mut sound = watch.answer.feed(&bytes, |line| {
+            watch.heard = now;
+            let line = std::str::from_utf8(line).map_err(|_| AnswerError::NotJson)?.trim();
+            if !line.is_empty() {
+                lists.push(wire::parse::<List>(line).map_err(|_| AnswerError::NotJson)?);
+            }
+            Ok(())
+        });
+        if sound.is_ok() && (broken || net.at_end(token)) {
+            sound = Err(AnswerError::Ended);
+        }
+        net.rearm(token);
+        watch.lists += lists.len() as u32;
+        let mut events = Vec::new();
+        for list in lists {
+            let whole = list.reset;
+            let kind = if whole { ListKind::Full } else { ListKind::Incremental };
+            events.push(Event::Members(kind, self.take(&list, whole)));
+        }
+        if let Err(error) = sound {
+            crate::log::line(format_args!("list-lost reason={error:?}"));
+            events.push(self.lose(net));
+        }
+        events
+    }
+
+    /// Looks whether the watch still lives.
+    pub fn check(&mut self, now: Nanos, net: &mut Net) -> Option<Event> {
+        let watch = self.watch.as_ref()?;
+        let most = if watch.lists == 0 { ANSWER_WITHIN } else { LINE_WITHIN };
+        if now.saturating_sub(watch.heard) <= most {
+            return None;
+        }
+        crate::log::line(format_args!("list-lost reason=Silent"));
+        Some(self.lose(net))
+    }
+
+    fn lose(&mut self, net: &mut Net) -> Event {
+        if let Some(watch) = self.watch.take() {
+            net.close(watch.token);
+        }
+        failed()
+    }
+
+    fn take(&mut self, list: &List, whole: bool) -> Vec<Member> {
+        self.generation = list.generation;
+        if whole {
+            self.regions.iter_mut().for_each(|r| r.serving = false);
+        }
+        list.instances.iter().map(|entry| self.member(entry)).collect()
+    }
+
+    fn member(&mut self, entry: &Entry) -> Member {
+        let name = &entry.instance_id;
+        let serving = matches!(entry.lifecycle, Lifecycle::Ready);
+        let region = Region { name: name.clone(), addr: entry.host_port, serving };
+        let server = match self.numbers.get(name) {
+            Some(server) => {
+                self.regions[server.0 as usize] = region;
+                *server
+            }
+            None => {
+                let server = ServerId(self.regions.len() as u32);
+                self.regions.push(region);
+                self.numbers.insert(name.clone(), server);
+                server
+            }
+        };
+        Member {
+            server,
+            tag: wire::tag(name),
+            zone: self.zones.iter().position(|z| *z == entry.zone).unwrap_or(self.zones.len()) as u32,
+            cell: entry.cell,
+            nominal: entry.weight,
+            // The module's clock is Unix time too, in nanoseconds; zero stays long ago.
+            born: entry.started_at_ms.saturating_mul(1_000_000),
+            status: match entry.lifecycle {
+                Lifecycle::Ready => Status::Serving,
+                Lifecycle::Draining => Status::Draining,
+                Lifecycle::Gone => Status::Gone,
+            },
+        }
+    }
+}
+
+fn failed() -> Event {
+    Event::Members(ListKind::Failed, Vec::new())
+}
+
+/// Why an answer cannot go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnswerError {
+    Ended,
+    TooLong,
+    NotHttp,
+    Status(u16),
+    NotChunked,
+    BadChunk,
+    NotJson,
+}
+
+/// An HTTP/1.1 answer in chunks, cut into lines.
+#[derive(Default)]
+struct Answer {
+    stage: Stage,
+    bytes: Vec<u8>,
+    line: Vec<u8>,
+}
+
+#[derive(Clone, Copy, Default, PartialEq)]
+enum Stage {
+    #[default]
+    Head,
+    Size,
+    Data(usize),
+    DataEnd,
+}
+
+const MOST_HEAD: usize = 8 * 1024;
+const MOST_LINE: usize = 1024 * 1024;
+
+impl Answer {
+    fn feed(
+        &mut self,
+        bytes: &[u8],
+        mut on_line: impl FnMut(&[u8]) -> Result<(), AnswerError>,
+    ) -> Result<(), AnswerError> {
+        self.bytes.extend_from_slice(bytes);
+        loop {
+            match self.stage {
+                Stage::Head => {
+                    let Some(end) = find(&self.bytes, b"\r\n\r\n") else {
+                        let long = self.bytes.len() > MOST_HEAD;
+                        return if long { Err(AnswerError::TooLong) } else { Ok(()) };
+                    };
+                    check_head(&self.bytes[..end])?;
+                    self.bytes.drain(..end + 4);
+                    self.stage = Stage::Size;
+                }
+                Stage::Size => {
+                    let Some(end) = find(&self.bytes, b"\r\n") else {
+                        let long = self.bytes.len() > 64;
+                        return if long { Err(AnswerError::BadChunk) } else { Ok(()) };
+                    };
+                    let text = std::str::from_utf8(&self.bytes[..end]).map_err(|_| AnswerError::BadChunk)?;
+                    let digits = text.split(';').next().unwrap_or("").trim();
+                    let size = usize::from_str_radix(digits, 16).map_err(|_| AnswerError::BadChunk)?;
+                    self.bytes.drain(..end + 2);
+                    if size == 0 {
+                        return Err(AnswerError::Ended);
+                    }
+                    self.stage = Stage::Data(size);
+                }
+                Stage::Data(left) => {
+                    let count = left.min(self.bytes.len());
+                    if count == 0 {
+                        return Ok(());
+                    }
+                    for byte in self.bytes.drain(..count) {
+                        self.line.push(byte);
+                        if byte == b'\n' {
+                            on_line(&self.line)?;
+                            self.line.clear();
+                        }
+                    }
+                    if self.line.len() > MOST_LINE {
+                        return Err(AnswerError::TooLong);
+                    }
+                    self.stage = if left == count { Stage::DataEnd } else { Stage::Data(left - count) };
+                }
+                Stage::DataEnd => {
+                    if self.bytes.len() < 2 {
+                        return Ok(());
+                    }
+                    if &self.bytes[..2] != b"\r\n" {
+                        return Err(AnswerError::BadChunk);
+                    }
+                    self.bytes.drain(..2);
+                    self.stage = Stage::Size;
+                }
+            }
+        }
+    }
+}
+
+fn check_head(head: &[u8]) -> Result<(), AnswerError> {
+    let text = std::str::from_utf8(head).map_err(|_| AnswerError::NotHttp)?;
+    let mut lines = text.split("\r\n");
+    let mut words = lines.next().unwrap_or("").split(' ');
+    if !words.next().is_some_and(|version| version.starts_with("HTTP/1.")) {
+        return Err(AnswerError::NotHttp);
+    }
+    match words.next().and_then(|code| code.parse().ok()) {
+        Some(200) => {}
+        Some(code) => return Err(AnswerError::Status(code)),
+        None => return Err(AnswerError::NotHttp),
+    }
+    let chunked = |line: &str| {
+        line.split_once(':').is_some_and(|(name, value)| {
+            name.eq_ignore_ascii_case("transfer-encoding") && value.trim().eq_ignore_ascii_case("chunked")
+        })
+    };
+    if lines.any(chunked) {
+        Ok(())
+    } else {
+        Err(AnswerError::NotChunked)
+    }
+}
+
+fn find(haystack: &[u8], needle: &[u8]) -> Option<usize> {
+    haystack.windows(needle.len()).position(|w| w == needle)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    fn feed(text: &str, step: usize) -> (Vec<String>, Result<(), AnswerError>) {
+        let (mut answer, mut lines) = (Answer::default(), Vec::new());
+        for part in text.as_bytes().chunks(step) {
+            let fed = answer.feed(part, |line| {
+                lines.push(String::from_utf8_lossy(line).into_owned());
+                Ok(())
+            });
+            if fed.is_err() {
+                return (lines, fed);
+            }
+        }
+        (lines, Ok(()))
+    }
+
+    #[rstest::rstest]
+    #[case(1)]
+    #[case(7)]
+    #[case(1000)]
+    fn lines_are_found_however_the_bytes_are_cut(#[case] step: usize) {
+        let text = format!("{HEAD}3\r\na\nb\r\n2;x=y\r\nc\n\r\n1\r\n\n\r\n");
+        assert_eq!(feed(&text, step), (vec!["a\n".into(), "bc\n".into(), "\n".into()], Ok(())));
+    }
+
+    #[rstest::rstest]
+    #[case("HTTP/1.1 503 No\r\n\r\n", AnswerError::Status(503))]
+    #[case("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", AnswerError::NotChunked)]
+    #[case("garbage\r\n\r\n", AnswerError::NotHttp)]
+    #[case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", AnswerError::BadChunk)]
+    #[case("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", AnswerError::Ended)]
+    fn what_is_no_watch_is_an_error(#[case] text: &str, #[case] error: AnswerError) {
+        assert_eq!(feed(text, 5).1, Err(error));
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -267,6 +267,11 @@
     u64::MAX / 2
 }
 
+/// The settings object of an instance's first message, as a real node finds it in its configuration.
+pub fn settings_from(text: &str) -> Result<Settings, String> {
+    parse(text).map(settings)
+}
+
 fn settings(wire: InSettings) -> Settings {
     let aims = wire.family_info.message_aim_ns;
     let classes = wire.profiles.into_iter().enumerate().map(|(at, p)| Class {
@@ -411,7 +416,7 @@
 }
 
 /// FNV-1a of a server's name: the same at every relay and in every version.
-fn tag(name: &str) -> u64 {
+pub fn tag(name: &str) -> u64 {
     name.bytes()
         .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3))
 }
@@ -566,7 +571,8 @@
     });
 }
 
-fn parse<'a, T: Deserialize<'a>>(text: &'a str) -> Result<T, String> {
+/// Decodes JSON; what is wrong is told with its field.
+pub fn parse<'a, T: Deserialize<'a>>(text: &'a str) -> Result<T, String> {
     let mut reader = serde_json::Deserializer::from_str(text);
     serde_path_to_error::deserialize(&mut reader).map_err(|error| {
         let path = error.path().to_string();
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -3,11 +3,11 @@
 mod common;
 
 use common::*;
-use sparbank::interface::*;
-use sparbank::Balancer;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use sparbank::interface::*;
+use sparbank::Balancer;
 use std::collections::BTreeMap;
 
 const GRACE: Nanos = 500 * MS;
