--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,22 +2,23 @@
 
 use crate::config::{AmqpConfig, Config};
 use lexopt::prelude::*;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-const USAGE: &str = "usage: sparbank serve [--amqp FILE] | check-config [--amqp FILE] | version | help";
+const USAGE: &str = "usage: sparbank serve|check-config [--amqp FILE] [--ipfix ADDRESS] | version | help";
 
 /// Runs the program: 0 when all went well, 1 when serving failed, 2 for a wrong call or configuration.
 pub fn run() -> ExitCode {
     match command() {
-        Ok(Command::Serve(amqp)) => match configuration(amqp) {
-            Ok((config, amqp)) => match crate::node::serve(config, amqp) {
+        Ok(Command::Serve(options)) => match configuration(&options) {
+            Ok((config, amqp)) => match crate::node::serve(config, amqp, options.ipfix) {
                 Ok(()) => ExitCode::SUCCESS,
                 Err(problem) => stop(&problem, 1),
             },
             Err(problem) => stop(&problem, 2),
         },
-        Ok(Command::CheckConfig(amqp)) => match configuration(amqp) {
+        Ok(Command::CheckConfig(options)) => match configuration(&options) {
             Ok((config, _)) => {
                 println!("{}: the configuration is right", config.name);
                 ExitCode::SUCCESS
@@ -36,35 +37,41 @@
     }
 }
 
-type Files = Option<PathBuf>;
+/// What is off by default.
+#[derive(Default)]
+struct Options {
+    amqp: Option<PathBuf>,
+    ipfix: Option<SocketAddr>,
+}
 
 enum Command {
-    Serve(Files),
-    CheckConfig(Files),
+    Serve(Options),
+    CheckConfig(Options),
     Version,
     Help,
 }
 
-fn configuration(amqp: Files) -> Result<(Config, Option<AmqpConfig>), String> {
+fn configuration(options: &Options) -> Result<(Config, Option<AmqpConfig>), String> {
     let config = Config::from_env()?;
-    Ok((config, amqp.map(|path| AmqpConfig::read(&path)).transpose()?))
+    Ok((config, options.amqp.as_deref().map(AmqpConfig::read).transpose()?))
 }
 
 fn command() -> Result<Command, lexopt::Error> {
     let mut parser = lexopt::Parser::from_env();
-    let (mut word, mut amqp) = (None, None);
+    let (mut word, mut options) = (None, Options::default());
     while let Some(arg) = parser.next()? {
         match arg {
             Short('h') | Long("help") => return Ok(Command::Help),
             Short('V') | Long("version") => return Ok(Command::Version),
-            Long("amqp") => amqp = Some(PathBuf::from(parser.value()?)),
+            Long("amqp") => options.amqp = Some(PathBuf::from(parser.value()?)),
+            Long("ipfix") => options.ipfix = Some(parser.value()?.parse()?),
             Value(value) if word.is_none() => word = Some(value.string()?),
             _ => return Err(arg.unexpected()),
         }
     }
     match word.as_deref() {
-        Some("serve") => Ok(Command::Serve(amqp)),
-        Some("check-config") => Ok(Command::CheckConfig(amqp)),
+        Some("serve") => Ok(Command::Serve(options)),
+        Some("check-config") => Ok(Command::CheckConfig(options)),
         Some("version") => Ok(Command::Version),
         Some("help") => Ok(Command::Help),
         Some(other) => Err(format!("there is no sub-command {other:?}").into()),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,7 @@
 mod config;
 mod core;
 mod counters;
+mod flow_export;
 mod front;
 pub mod interface;
 mod log;
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::config::{AmqpConfig, Config};
 use crate::core::{Command, Core, Front};
+use crate::flow_export::FlowExport;
 use crate::front::amqp::AmqpFront;
 use crate::front::text::TextFront;
 use crate::front::{Ctx, Due};
@@ -10,6 +11,7 @@
 use crate::net::{Kind, Net, Notice, Owner, Token, Wheel};
 use crate::service_table::ServiceTable;
 use std::io;
+use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
@@ -50,6 +52,7 @@
     config: Config,
     text: TextFront,
     amqp: Option<AmqpFront>,
+    export: Option<FlowExport>,
     signals: Signals,
     leaving: Option<Nanos>,
 }
@@ -83,7 +86,7 @@
 }
 
 /// Serves until it is told to stop.
-pub fn serve(config: Config, amqp: Option<AmqpConfig>) -> Result<(), String> {
+pub fn serve(config: Config, amqp: Option<AmqpConfig>, ipfix: Option<SocketAddr>) -> Result<(), String> {
     let at = |what: &str, e: io::Error| format!("{what}: {e}");
     let mut net = Net::new(config.sockets).map_err(|e| at("epoll", e))?;
     let signals = Signals {
@@ -103,11 +106,19 @@
         log::line(format_args!("amqp listen={listen}"));
         amqp_front = Some(AmqpFront::new(amqp, &config.name, &config.facts, limits.clone()));
     }
+    let mut export = None;
+    if let Some(collector) = ipfix {
+        let domain = crate::wire::tag(&config.name) as u32;
+        export = Some(FlowExport::new(collector, domain).map_err(|e| at("ipfix", e))?);
+        core.flows = Some(Vec::new());
+        log::line(format_args!("ipfix collector={collector} domain={domain}"));
+    }
     let clock = Clock::new();
     let mut wheel = Wheel::new(clock.now());
     wheel.at(clock.now(), Due::Look);
     let text = TextFront::new(limits);
-    Node { clock, net, core, table, wheel, config, text, amqp: amqp_front, signals, leaving: None }.run()
+    Node { clock, net, core, table, wheel, config, text, amqp: amqp_front, export, signals, leaving: None }
+        .run()
 }
 
 fn signal(net: &mut Net, signals: &[i32]) -> io::Result<Token> {
@@ -133,6 +144,7 @@
             }
             self.decide();
             if self.has_left() {
+                self.export_flows(self.clock.now());
                 log::line(format_args!("{}", self.core.counters));
                 log::line(format_args!("stopped"));
                 return Ok(());
@@ -196,12 +208,19 @@
                 }
                 self.text.look(ctx!(self));
                 on_amqp!(self, look);
+                self.export_flows(now);
                 self.wheel.at(now + LOOK_EVERY, Due::Look);
             }
             Due::Leave => self.leave(),
         }
     }
 
+    fn export_flows(&mut self, now: Nanos) {
+        if let (Some(export), Some(flows)) = (&mut self.export, &mut self.core.flows) {
+            export.send(now, &std::mem::take(flows), &self.table, &self.config.facts);
+        }
+    }
+
     /// One step of leaving: of those that stand, so many are moved that all have been by the end.
     fn leave(&mut self) {
         let Some(since) = self.leaving else { return };
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -143,6 +143,10 @@
 
     /// Starts a node; the AMQP front is on where its settings are given.
     pub fn with(regions: Vec<TcpListener>, amqp: Option<&str>) -> Bench {
+        Bench::with_args(regions, amqp, &[])
+    }
+
+    pub fn with_args(regions: Vec<TcpListener>, amqp: Option<&str>, args: &[&str]) -> Bench {
         let discovery = listener();
         let address = |l: &TcpListener| l.local_addr().expect("an address");
         let list: Vec<String> =
@@ -153,6 +157,7 @@
         if let Some(path) = &amqp_file {
             all.extend(["--amqp", path.to_str().expect("a path")]);
         }
+        all.extend(args);
         let mut child = program(&all, &files).spawn().expect("the node starts");
         let log = BufReader::new(child.stderr.take().expect("its log"));
         let addr = discovery.local_addr().expect("an address");
