--- a/tests/amqp.rs
+++ b/tests/amqp.rs
@@ -259,6 +259,26 @@
     assert!(cold <= 3, "{cold} of 12");
 }
 
+#[rstest]
+fn sigterm_answers_what_is_in_hand_and_ends_the_connection_politely() {
+    let mut bench = bench(1);
+    let mut client = client(&bench, CLASS);
+    client.deliver(0, &message(1200, "7f3a", b"in hand"));
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 100, 4096);
+    server.link(10, 100);
+    let (transfer, _) = until!(server, Transfer);
+    bench.signal("-TERM");
+    bench.logged("leaving");
+    // Its credit is taken back first.
+    while until!(client, Flow).0.link_credit != Some(0) {}
+    server.settle(transfer.delivery_id.expect("an id"), state(0x24));
+    assert_eq!(answer(&mut client).0, 0x24);
+    let error = until!(client, Close).0.error.expect("why");
+    let forced = Value::Symbol("amqp:connection:forced".into());
+    assert_eq!(error.as_composite().expect("an error").1[0], forced);
+    assert!(bench.child.wait().expect("it ends").success());
+}
+
 /// How routed tasks go, in turn, at whichever region they come to.
 #[derive(Clone, Copy, PartialEq)]
 enum Act {
--- a/tests/ipfix.rs
+++ b/tests/ipfix.rs
@@ -24,7 +24,7 @@
     let collector = UdpSocket::bind("127.0.0.1:0").expect("a port");
     collector.set_read_timeout(Some(std::time::Duration::from_secs(20))).expect("a time-out");
     let to = collector.local_addr().expect("bound").to_string();
-    let bench = Bench::with_args(vec![listener()], None, &["--ipfix", &to]);
+    let bench = Bench::with_args(vec![listener()], None, &["--ipfix", &to], str::to_string);
     let mut terminal = bench.terminal("OPEN 9b1f 7f3a c=live-readings,t=acme,d=1200,g=5c0f");
     let mut task = Peer::accept(&bench.regions[0]);
     task.line();
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -143,15 +143,21 @@
 
     /// Starts a node; the AMQP front is on where its settings are given.
     pub fn with(regions: Vec<TcpListener>, amqp: Option<&str>) -> Bench {
-        Bench::with_args(regions, amqp, &[])
+        Bench::with_args(regions, amqp, &[], str::to_string)
     }
 
-    pub fn with_args(regions: Vec<TcpListener>, amqp: Option<&str>, args: &[&str]) -> Bench {
+    /// Starts a node with further arguments and an edited configuration.
+    pub fn with_args(
+        regions: Vec<TcpListener>,
+        amqp: Option<&str>,
+        args: &[&str],
+        edit: fn(&str) -> String,
+    ) -> Bench {
         let discovery = listener();
         let address = |l: &TcpListener| l.local_addr().expect("an address");
         let list: Vec<String> =
             regions.iter().enumerate().map(|(at, l)| instance(at, address(l), "ready")).collect();
-        let files = file("node.json", &config(address(&discovery), &list.join(","), 256));
+        let files = file("node.json", &edit(&config(address(&discovery), &list.join(","), 256)));
         let amqp_file = amqp.map(|text| file("amqp.json", text));
         let mut all = vec!["serve"];
         if let Some(path) = &amqp_file {
--- a/tests/text.rs
+++ b/tests/text.rs
@@ -180,6 +180,36 @@
     bench.watch();
 }
 
+#[rstest]
+fn a_connect_in_progress_to_a_region_that_drains_is_called_off() {
+    // With a minute to connect in, only the drain can end the attempt.
+    let patient = |text: &str| text.replace(r#""DialTimeoutNs":250000000"#, r#""DialTimeoutNs":60000000000"#);
+    let mut bench = Bench::with_args(vec![silent(), listener()], None, &[], patient);
+    let mut watch = bench.watch();
+    // Until the pick falls on the silent one, the other takes what comes.
+    let mut key = 0;
+    let mut terminal = loop {
+        let mut terminal =
+            bench.terminal(&OPEN.replace("7f3a", &format!("{key:x}")).replace("1200", "60000"));
+        bench.regions[1].set_nonblocking(true).expect("non-blocking");
+        while bench.counter("sent") == key {}
+        let Ok((stream, _)) = bench.regions[1].accept() else { break terminal };
+        stream.set_nonblocking(false).expect("blocking");
+        let mut task = Peer::new(stream);
+        task.line();
+        task.say("UP r1\r\n");
+        assert_eq!(terminal.line(), "UP r1");
+        key += 1;
+    };
+    bench.regions[1].set_nonblocking(false).expect("blocking");
+    bench.change(&mut watch, 0, "draining");
+    let mut task = Peer::accept(&bench.regions[1]);
+    task.line();
+    task.say("UP r1\r\n");
+    assert_eq!(terminal.line(), "UP r1");
+    assert_eq!(bench.counter("task_connect_failed"), 1);
+}
+
 #[rstest]
 #[case::no_http("what\r\n\r\n")]
 #[case::no_json("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{]\n\r\n")]
