Tell when accepting rests for want of descriptors, with a story for it

net/sockets.rs, accept: without the rest the listener stays readable and the loop spins on it. The story limits a running node to 32 descriptors, waits for the log line, and has a connection served afterwards. The IPFIX exporter sends from the node's own address instead of any.

--- a/src/flow_export.rs
+++ b/src/flow_export.rs
@@ -38,14 +38,9 @@
 }
 
 impl FlowExport {
-    /// An exporter to this collector. The domain tells nodes apart.
-    pub fn new(collector: SocketAddr, domain: u32) -> io::Result<FlowExport> {
-        let any: SocketAddr = if collector.is_ipv4() {
-            (Ipv4Addr::UNSPECIFIED, 0).into()
-        } else {
-            (std::net::Ipv6Addr::UNSPECIFIED, 0).into()
-        };
-        let socket = UdpSocket::bind(any)?;
+    /// An exporter from the node's own address to this collector. The domain tells nodes apart.
+    pub fn new(own: IpAddr, collector: SocketAddr, domain: u32) -> io::Result<FlowExport> {
+        let socket = UdpSocket::bind((own, 0))?;
         socket.connect(collector)?;
         socket.set_nonblocking(true)?;
         Ok(FlowExport { socket, domain, sequence: 0, template_at: None })
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -340,6 +340,7 @@
                 Err(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM) => {
                     // The listener stays readable: left armed, the loop would spin on it.
                     self.resting = Some(self.now + ACCEPT_REST);
+                    crate::log::line(format_args!("accept-rests open={}", self.open));
                     return self.arm_listeners(epoll::EventFlags::empty());
                 }
                 // That connection is gone already; the next may not be.
--- a/src/node.rs
+++ b/src/node.rs
@@ -109,7 +109,7 @@
     let mut export = None;
     if let Some(collector) = ipfix {
         let domain = crate::wire::tag(&config.name) as u32;
-        export = Some(FlowExport::new(collector, domain).map_err(|e| at("ipfix", e))?);
+        export = Some(FlowExport::new(config.listen.ip(), collector, domain).map_err(|e| at("ipfix", e))?);
         core.flows = Some(Vec::new());
         log::line(format_args!("ipfix collector={collector} domain={domain}"));
     }
--- a/tests/text.rs
+++ b/tests/text.rs
@@ -258,6 +258,18 @@
     assert_eq!(value(&bench.stop(), "over_budget"), 1);
 }
 
+#[rstest]
+fn when_the_system_has_no_descriptors_left_accepting_rests_and_goes_on() {
+    use rustix::process::{prlimit, Pid, Resource, Rlimit};
+    let mut bench = Bench::start(1);
+    let few = Rlimit { current: Some(32), maximum: Some(32) };
+    prlimit(Some(Pid::from_child(&bench.child)), Resource::Nofile, few).expect("a limit");
+    let idle: Vec<Peer> = (0..60).map(|_| Peer::connect(bench.addr)).collect();
+    bench.logged("accept-rests");
+    drop(idle);
+    standing(&bench);
+}
+
 #[rstest]
 #[case::not_json("{", "EOF")]
 #[case::a_missing_field(r#"{"name":"n"}"#, "listen")]
