--- a/crates/amqp/src/message.rs
+++ b/crates/amqp/src/message.rs
@@ -4,6 +4,9 @@
 use crate::value::Value;
 use std::ops::Range;
 
+/// The longest header that is taken, in octets.
+const MOST_HEADER: usize = 64;
+
 /// The sections before the body, as far as they have come: where they are, and what routing needs.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Head {
@@ -58,7 +61,8 @@
 
     fn section(&mut self, code: u64, at: Range<usize>, bytes: &[u8]) -> Result<()> {
         match (code, bytes[at.start]) {
-            (0x70, 0x45 | 0xc0 | 0xd0) => {
+            // Its five fields take some 30 octets at most: it goes on in one frame of any size.
+            (0x70, 0x45 | 0xc0 | 0xd0) if at.len() <= MOST_HEADER => {
                 if let Some(mut field) = field(&bytes[at.clone()], 2)? {
                     self.ttl = match field.value()? {
                         Value::Null => None,
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,12 +1,12 @@
 //! What a node is told at its start: `NODE_CONFIG` and the variables beside it.
 
+use crate::front::{Files, ReadFiles, OPTIONAL};
 use crate::interface::{Nanos, Settings};
 use crate::service_table::List;
 use crate::wire;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
-use std::path::Path;
 
 /// The configuration of a node.
 pub struct Config {
@@ -82,58 +82,24 @@
 /// All that `serve` is configured by, read alike at the start, by `check-config` and on SIGHUP.
 pub struct Loaded {
     pub node: Config,
-    pub amqp: Option<AmqpConfig>,
+    /// What the optional fronts' files say.
+    pub fronts: ReadFiles,
 }
 
 impl Loaded {
-    /// Reads the environment's configuration and the AMQP front's file, where there is one.
-    pub fn read(amqp: Option<&Path>) -> Result<Loaded, String> {
-        Ok(Loaded { node: Config::from_env()?, amqp: amqp.map(AmqpConfig::read).transpose()? })
+    /// Reads the environment's configuration and the optional fronts' files.
+    pub fn read(files: &Files) -> Result<Loaded, String> {
+        Ok(Loaded { node: Config::from_env()?, fronts: read_fronts(files)? })
     }
 
-    /// Reads both again for a running node: all of it is right, or none of it counts.
-    pub fn again(running: &Config, amqp: Option<&Path>) -> Result<Loaded, String> {
-        Ok(Loaded { node: running.again()?, amqp: amqp.map(AmqpConfig::read).transpose()? })
+    /// Reads all again for a running node: all of it is right, or none of it counts.
+    pub fn again(running: &Config, files: &Files) -> Result<Loaded, String> {
+        Ok(Loaded { node: running.again()?, fronts: read_fronts(files)? })
     }
 }
 
-/// The AMQP front's own file, such as `deploy/amqp.json`.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct AmqpConfig {
-    /// Where AMQP terminals connect; port 0 lets the system pick one.
-    pub listen: SocketAddr,
-    /// The largest frame taken, in octets.
-    #[serde(default = "max_frame")]
-    pub max_frame: u32,
-    /// The most links on one connection.
-    #[serde(default = "max_links")]
-    pub max_links: u32,
-    /// The largest message taken, in octets.
-    #[serde(default = "max_message")]
-    pub max_message: usize,
-    /// Connections that are silent for this long are closed.
-    #[serde(default = "idle_ms")]
-    pub idle_ms: u32,
-    /// Where regions speak AMQP, by instance id. A region that is not named is met at discovery's address.
-    #[serde(default)]
-    pub regions: std::collections::HashMap<String, SocketAddr>,
-}
-
-fn max_frame() -> u32 {
-    16 * 1024
-}
-
-fn max_links() -> u32 {
-    8
-}
-
-fn max_message() -> usize {
-    64 * 1024
-}
-
-fn idle_ms() -> u32 {
-    10_000
+fn read_fronts(files: &Files) -> Result<ReadFiles, String> {
+    files.iter().map(|(which, path)| Ok((*which, (OPTIONAL[*which].read)(path)?))).collect()
 }
 
 impl Config {
@@ -205,19 +171,6 @@
     }
 }
 
-impl AmqpConfig {
-    /// Reads the AMQP front's file.
-    pub fn read(path: &Path) -> Result<AmqpConfig, String> {
-        let name = path.display();
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
-        let config: AmqpConfig = wire::parse(&text).map_err(|e| format!("{name}: {e}"))?;
-        if config.max_frame < 512 {
-            return Err(format!("{name}: field max_frame: at least 512"));
-        }
-        Ok(config)
-    }
-}
-
 fn address(variable: &str, otherwise: SocketAddr) -> Result<SocketAddr, String> {
     match std::env::var(variable) {
         Ok(text) => text.parse().map_err(|e| format!("{variable}: {e}")),
--- a/src/core.rs
+++ b/src/core.rs
@@ -9,28 +9,30 @@
 use crate::interface::*;
 use std::collections::HashMap;
 
+type Map<K, V> = HashMap<K, V, foldhash::fast::RandomState>;
+
 /// Which front a transaction came through.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Front {
-    /// The platform's lines of text.
-    Text,
-    /// AMQP 1.0.
-    Amqp,
+pub struct FrontId {
+    /// Its place among the fronts.
+    pub index: u8,
+    /// Its name in exports and log lines.
+    pub name: &'static str,
 }
 
 /// What the node has to carry out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
     /// Start the one routed task of a transaction, for at most this long.
-    Start { front: Front, txn: RequestId, region: ServerId, wait: Nanos },
+    Start { front: FrontId, txn: RequestId, region: ServerId, wait: Nanos },
     /// Stop the routed task of a transaction: its time is up or it was recalled.
-    Stop { front: Front, txn: RequestId },
+    Stop { front: FrontId, txn: RequestId },
     /// The final answer: refused, come again after this.
-    Refuse { front: Front, txn: RequestId, cool_down: Nanos },
+    Refuse { front: FrontId, txn: RequestId, cool_down: Nanos },
     /// The final answer: failed.
-    Fail { front: Front, txn: RequestId },
+    Fail { front: FrontId, txn: RequestId },
     /// Ask the terminal of a standing connection to come again.
-    Move { front: Front, txn: RequestId },
+    Move { front: FrontId, txn: RequestId },
     /// Wake the balancer.
     Timer { after: Nanos, token: u64 },
     /// Start a watch on the service table.
@@ -50,7 +52,7 @@
 }
 
 struct Transaction {
-    front: Front,
+    front: FrontId,
     class: usize,
     began: Nanos,
     deadline: Nanos,
@@ -62,7 +64,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Flow {
     pub txn: RequestId,
-    pub front: Front,
+    pub front: FrontId,
     pub class: usize,
     pub region: Option<ServerId>,
     pub began: Nanos,
@@ -85,7 +87,7 @@
 /// The core.
 pub struct Core {
     balancer: Balancer,
-    transactions: HashMap<RequestId, Transaction>,
+    transactions: Map<RequestId, Transaction>,
     next: u64,
     inbox: Vec<Event>,
     /// Flows that ended, where they are to be exported.
@@ -97,7 +99,7 @@
     pub fn new(seed: u64, settings: Settings) -> Result<Core, SettingsError> {
         Ok(Core {
             balancer: Balancer::new(seed, settings)?,
-            transactions: HashMap::new(),
+            transactions: Map::default(),
             next: 0,
             inbox: Vec::new(),
             flows: None,
@@ -110,7 +112,7 @@
         self.balancer.set(settings);
     }
 
-    fn admit(&mut self, now: Nanos, front: Front, arrival: &mut Arrival, state: State) -> RequestId {
+    fn admit(&mut self, now: Nanos, front: FrontId, arrival: &mut Arrival, state: State) -> RequestId {
         self.next += 1;
         arrival.id = RequestId(self.next);
         let deadline = now.saturating_add(arrival.grace);
@@ -121,7 +123,7 @@
     }
 
     /// A transaction comes in; its id is dealt here.
-    pub fn arrive(&mut self, now: Nanos, front: Front, mut arrival: Arrival) -> RequestId {
+    pub fn arrive(&mut self, now: Nanos, front: FrontId, mut arrival: Arrival) -> RequestId {
         self.counters.taken += 1;
         let id = self.admit(now, front, &mut arrival, State::Waiting);
         self.inbox.push(Event::Request(arrival));
@@ -129,7 +131,13 @@
     }
 
     /// A connection that stood before this node started stands again: no placement.
-    pub fn resume(&mut self, now: Nanos, front: Front, mut arrival: Arrival, region: ServerId) -> RequestId {
+    pub fn resume(
+        &mut self,
+        now: Nanos,
+        front: FrontId,
+        mut arrival: Arrival,
+        region: ServerId,
+    ) -> RequestId {
         self.counters.resumed += 1;
         let id = self.admit(now, front, &mut arrival, State::Up { region });
         self.inbox.push(Event::Resumed(arrival, region));
@@ -175,6 +183,24 @@
         done
     }
 
+    /// The routed task is over and the item cannot be sent again: its front no longer holds what it would
+    /// send. That is the final answer, failed; true if it was still owed.
+    pub fn spent(&mut self, now: Nanos, id: RequestId, outcome: Outcome) -> bool {
+        let Some(t) = self.transactions.get(&id) else { return false };
+        let State::Trying { region: server, .. } = t.state else { return false };
+        self.counters.task(outcome);
+        self.counters.failed += 1;
+        self.inbox.push(Event::Vanished(id));
+        self.inbox.push(Event::Response { id, server, outcome, done: true });
+        self.finish(now, id, Some(server), FlowResult::Failed);
+        true
+    }
+
+    /// Whether anything waits for [`Core::decide`].
+    pub fn has_news(&self) -> bool {
+        !self.inbox.is_empty()
+    }
+
     /// The terminal left; the front has dropped the routed task, if one was out.
     pub fn left(&mut self, now: Nanos, id: RequestId) {
         let Some(t) = self.transactions.get(&id) else { return };
@@ -226,14 +252,16 @@
         commands
     }
 
-    /// The node itself moves a standing connection: it leaves, or the region went silent.
-    pub fn moved(&mut self, now: Nanos, id: RequestId, outcome: Outcome) {
-        let Some(t) = self.transactions.get(&id) else { return };
-        if let State::Up { region: server } = t.state {
-            self.counters.moved += 1;
-            self.finish(now, id, Some(server), FlowResult::Moved);
-            self.inbox.push(Event::Response { id, server, outcome, done: true });
-        }
+    /// The node itself moves a standing connection: it leaves, or the region went silent. Gives the front
+    /// that has to tell the terminal.
+    pub fn moved(&mut self, now: Nanos, id: RequestId, outcome: Outcome) -> Option<FrontId> {
+        let t = self.transactions.get(&id)?;
+        let State::Up { region: server } = t.state else { return None };
+        let front = t.front;
+        self.counters.moved += 1;
+        self.finish(now, id, Some(server), FlowResult::Moved);
+        self.inbox.push(Event::Response { id, server, outcome, done: true });
+        Some(front)
     }
 
     /// Anything else that the balancer is to hear: notes, lists, timers.
@@ -242,7 +270,7 @@
     }
 
     /// The time-out of a routed task has come: says whether that very task is still out, and where.
-    pub fn is_out(&self, id: RequestId, shot: u32) -> Option<Front> {
+    pub fn is_out(&self, id: RequestId, shot: u32) -> Option<FrontId> {
         let t = self.transactions.get(&id)?;
         matches!(t.state, State::Trying { shot: out, .. } if out == shot).then_some(t.front)
     }
@@ -322,7 +350,7 @@
     }
 
     /// The final answer of a transaction that has no routed task out.
-    fn answer(&mut self, now: Nanos, id: RequestId, result: FlowResult) -> Option<Front> {
+    fn answer(&mut self, now: Nanos, id: RequestId, result: FlowResult) -> Option<FrontId> {
         let t = self.transactions.get(&id)?;
         if !matches!(t.state, State::Waiting) {
             return None;
--- a/src/flow_export.rs
+++ b/src/flow_export.rs
@@ -3,7 +3,7 @@
 //! One template of IANA's own elements. A collector that is away costs its records, nothing else.
 
 use crate::config::Facts;
-use crate::core::{Flow, FlowResult, Front};
+use crate::core::{Flow, FlowResult};
 use crate::interface::Nanos;
 use crate::service_table::ServiceTable;
 use std::io;
@@ -110,10 +110,6 @@
         FlowResult::Moved => (4, "moved"),
         FlowResult::Broken => (4, "broken"),
     };
-    let front = match flow.front {
-        Front::Text => "text",
-        Front::Amqp => "amqp",
-    };
     let class = facts.classes.get(flow.class).map_or("", |c| c.name.as_str());
     let mut out = Vec::new();
     out.extend(flow.txn.0.to_be_bytes());
@@ -123,7 +119,7 @@
     out.extend(ip.octets());
     out.extend(addr.map_or(0, |a| a.port()).to_be_bytes());
     out.extend(flow.attempts.to_be_bytes());
-    for text in [class, front, result] {
+    for text in [class, flow.front.name, result] {
         let text = &text.as_bytes()[..text.len().min(254)];
         out.push(text.len() as u8);
         out.extend(text);
--- /dev/null
+++ b/src/front/amqp/from_terminals.rs
@@ -0,0 +1,595 @@
+//! What terminals say.
+
+use super::terminals::{Partial, Use};
+use super::*;
+use crate::front::{Ctx, Due, ANSWER_MARGIN};
+use crate::net::{Kind, Notice, Token, SLOW};
+use crate::wire::tag;
+use sparbank_amqp::{
+    condition, Asked, Attach, Connection, DecodeError, Error, Event, Head, LinkId, Message, Part, Role,
+    Source, State, Target, Terminus, Value,
+};
+use std::rc::Rc;
+
+const MS: Nanos = 1_000_000;
+/// No deadline is longer than this.
+const MOST_WAIT: Nanos = 3_600_000 * MS;
+/// What comes of a delivery before its body must fit into this, in octets.
+const MOST_HEAD: usize = 64 * 1024;
+/// A wrong password is answered after this.
+const WRONG_PASSWORD_COSTS: Nanos = 1_000 * MS;
+
+/// The attach that asks a region for what a terminal asked for.
+pub(super) fn towards_region(attach: &Attach) -> Attach {
+    Attach {
+        snd_settle_mode: attach.snd_settle_mode,
+        rcv_settle_mode: attach.rcv_settle_mode,
+        source: attach.source.clone(),
+        target: Some(Terminus::Target(Target::default())),
+        properties: attach.properties.clone(),
+        desired_capabilities: attach.desired_capabilities.clone(),
+        ..Attach::default()
+    }
+}
+
+impl AmqpFront {
+    pub(super) fn terminal_notice(&mut self, ctx: &mut Ctx, notice: Notice) {
+        let token = notice.token;
+        match notice.kind {
+            Kind::Accepted => return self.accept(ctx, token),
+            Kind::Evicted => {
+                ctx.core.counters.silent += 1;
+                return self.terminal_gone(ctx, token);
+            }
+            Kind::Broken(_) => return self.terminal_gone(ctx, token),
+            Kind::Drained => self.forward_all(ctx, token),
+            Kind::Readable => {}
+        }
+        self.read_terminal(ctx, token);
+    }
+
+    fn accept(&mut self, ctx: &mut Ctx, token: Token) {
+        if ctx.net.is_short() && !ctx.net.make_room() {
+            ctx.core.counters.over_budget += 1;
+            return ctx.net.close(token);
+        }
+        let offered = self.config.known.as_ref().map(|u| u.mechanisms(self.config.plain_unencrypted, false));
+        let conn = Connection::accept(ctx.now, self.config.terminal(&self.container), offered);
+        ctx.net.read_ahead(token, self.config.max_frame as usize + 1024);
+        let ip = ctx.net.peer(token).map(|peer| peer.ip());
+        if !self.terminals.insert(token, conn, ip, self.config.peer_connections) {
+            ctx.core.counters.over_budget += 1;
+            ctx.net.close(token);
+        }
+    }
+
+    /// Takes what has come, unless the terminal does not read its answers or there is no room.
+    pub(super) fn read_terminal(&mut self, ctx: &mut Ctx, token: Token) {
+        if ctx.net.unwritten(token) >= SLOW {
+            return ctx.net.rearm(token);
+        }
+        let mut bytes = ctx.net.input(token).map(std::mem::take).unwrap_or_default();
+        let mut left = &bytes[..];
+        let mut fault = None;
+        while let Some(terminal) = self.terminals.get(token) {
+            if self.items.held() >= self.config.max_held {
+                self.terminals.pause(token);
+                break;
+            }
+            match terminal.conn.next(ctx.now, &mut left) {
+                Ok(Some(event)) => self.terminal_event(ctx, token, event),
+                Ok(None) => break,
+                Err(why) => {
+                    fault = Some(why);
+                    break;
+                }
+            }
+        }
+        let taken = bytes.len() - left.len();
+        if taken < bytes.len() {
+            bytes.drain(..taken);
+            if let Some(input) = ctx.net.input(token) {
+                *input = bytes;
+            }
+        }
+        let Some(terminal) = self.terminals.get(token) else { return ctx.net.close(token) };
+        if let Some(why) = fault {
+            ctx.core.counters.malformed += 1;
+            crate::log::line(format_args!("amqp-terminal-fault condition={} {}", why.condition, why.words));
+            terminal.conn.close(Some(Box::new(why.into())));
+        }
+        self.terminals.touch(token);
+        if ctx.net.at_end(token) {
+            return self.terminal_gone(ctx, token);
+        }
+        ctx.net.rearm(token);
+    }
+
+    fn terminal_event(&mut self, ctx: &mut Ctx, token: Token, event: Event<'_>) {
+        match event {
+            Event::Asked(asked) => self.asked(ctx, token, asked),
+            Event::Opened {} => {
+                ctx.net.prove(token);
+                let anonymous = self.config.known.as_ref().and_then(|users| users.anonymous());
+                if let (Some(terminal), Some(who)) = (self.terminals.get(token), anonymous) {
+                    if terminal.who.name.is_none() {
+                        terminal.who = who;
+                    }
+                }
+            }
+            Event::Asks { link, role: Role::Receiver, attach } => self.sends(token, link, &attach),
+            Event::Asks { link, role: Role::Sender, attach } => self.receives(ctx, token, link, attach),
+            Event::Credit { link } => {
+                if let Some(relay) = self.relay_at(token, link) {
+                    self.relays.forward(ctx, relay, sides(&mut self.terminals, &mut self.regions));
+                }
+            }
+            Event::Room { channel } => {
+                for relay in self.relays.on(token, channel) {
+                    self.relays.forward(ctx, relay, sides(&mut self.terminals, &mut self.regions));
+                }
+            }
+            Event::Transfer { link, part } => self.part(ctx, token, link, part),
+            Event::Settled { link, key, state, .. } => {
+                if let Some(relay) = self.relay_at(token, link) {
+                    self.relays.settled(relay, key, state, &mut self.regions);
+                }
+            }
+            Event::Forgotten { key, .. } | Event::Dropped { role: Role::Receiver, key, .. } => {
+                self.left(ctx, RequestId(key))
+            }
+            Event::Detached { link, .. } => self.link_gone(ctx, token, link),
+            _ => {}
+        }
+    }
+
+    fn relay_at(&mut self, token: Token, link: LinkId) -> Option<u64> {
+        match self.terminals.get(token)?.links.get(&link)? {
+            Use::Relay(relay) => Some(*relay),
+            Use::Intake(_) => None,
+        }
+    }
+
+    /// A slow terminal has read what there was: what waits for it goes on.
+    fn forward_all(&mut self, ctx: &mut Ctx, token: Token) {
+        let Some(terminal) = self.terminals.get(token) else { return };
+        let relays =
+            terminal.links.values().filter_map(|u| if let Use::Relay(r) = u { Some(*r) } else { None });
+        let mut relays: Vec<u64> = relays.collect();
+        relays.sort_unstable();
+        for relay in relays {
+            self.relays.forward(ctx, relay, sides(&mut self.terminals, &mut self.regions));
+        }
+    }
+
+    // ---- Links -----------------------------------------------------------------------------------------
+
+    fn class(&self, address: &str) -> Option<usize> {
+        self.classes.iter().position(|class| class == address.trim_start_matches('/'))
+    }
+
+    fn refuse_link(&mut self, token: Token, link: LinkId, condition: &str, words: &str) {
+        if let Some(terminal) = self.terminals.get(token) {
+            terminal.conn.refuse_link(link, Error::new(condition, words));
+        }
+        self.terminals.touch(token);
+    }
+
+    /// A terminal wants to send: to a class, or to the anonymous terminus, where `to` names it.
+    fn sends(&mut self, token: Token, link: LinkId, attach: &Attach) {
+        let target = match &attach.target {
+            Some(Terminus::Target(target)) => target.clone(),
+            Some(Terminus::Coordinator) => {
+                let words = "transactions are not offered";
+                return self.refuse_link(token, link, condition::NOT_IMPLEMENTED, words);
+            }
+            Some(Terminus::Other(_)) => {
+                let words = "a target of this kind is not known";
+                return self.refuse_link(token, link, condition::NOT_IMPLEMENTED, words);
+            }
+            None => return self.refuse_link(token, link, condition::INVALID_FIELD, "there is no target"),
+        };
+        if target.dynamic == Some(true) {
+            let words = "only sources can be dynamic";
+            return self.refuse_link(token, link, condition::NOT_IMPLEMENTED, words);
+        }
+        let class = match &target.address {
+            None => None,
+            Some(address) => match self.class(address) {
+                Some(class) => Some(class),
+                None => {
+                    let words = "the target address names no class";
+                    return self.refuse_link(token, link, condition::NOT_FOUND, words);
+                }
+            },
+        };
+        let Some(terminal) = self.terminals.get(token) else { return };
+        if class.is_some_and(|class| !terminal.who.may(&self.classes[class])) {
+            let words = "this user may not attach to this class";
+            return self.refuse_link(token, link, condition::UNAUTHORIZED_ACCESS, words);
+        }
+        let answer = Attach {
+            snd_settle_mode: attach.snd_settle_mode,
+            source: attach.source.clone(),
+            target: Some(Terminus::Target(Target { expiry_policy: None, timeout: None, ..target })),
+            ..Attach::default()
+        };
+        terminal.conn.accept_link(link, answer);
+        self.terminals.add_intake(token, link, class);
+        self.grant(token, link);
+        self.terminals.touch(token);
+    }
+
+    /// A terminal wants to receive: what a class sends, or replies.
+    fn receives(&mut self, ctx: &mut Ctx, token: Token, link: LinkId, attach: Box<Attach>) {
+        let source = attach.source.clone().unwrap_or_default();
+        if source.dynamic == Some(true) {
+            return self.receives_replies(token, link, attach, source);
+        }
+        let class = source.address.as_deref().and_then(|address| self.class(address));
+        let Some(class) = class else {
+            let words = "the source address names no class";
+            return self.refuse_link(token, link, condition::NOT_FOUND, words);
+        };
+        let Some(terminal) = self.terminals.get(token) else { return };
+        if !terminal.who.may(&self.classes[class]) {
+            let words = "this user may not attach to this class";
+            return self.refuse_link(token, link, condition::UNAUTHORIZED_ACCESS, words);
+        }
+        if self.leaving {
+            let why = come_again(condition::RESOURCE_LIMIT_EXCEEDED, "the node leaves", COME_AGAIN);
+            terminal.conn.refuse_link(link, why);
+            return self.terminals.touch(token);
+        }
+        let properties = attach.properties.clone().unwrap_or(Value::Null);
+        let property = |name: &str| match properties.get(name) {
+            Some(Value::Text(text) | Value::Symbol(text)) => Some(text.clone()),
+            Some(Value::Uint(n)) => Some(n.to_string()),
+            Some(Value::Ulong(n)) => Some(n.to_string()),
+            _ => None,
+        };
+        let limit = ctx.classes.get(class).map_or(0, |c| c.hard_limit);
+        let arrival = arrival(class, limit, property, properties.get("again") == Some(&Value::Bool(true)));
+        let txn = ctx.core.arrive(ctx.now, self.id, arrival);
+        let relay = self.relays.insert(Some(txn), token, link, attach);
+        terminal.links.insert(link, Use::Relay(relay));
+    }
+
+    /// A dynamic source: a node to which regions may send replies, as long as its link lasts.
+    fn receives_replies(&mut self, token: Token, link: LinkId, attach: Box<Attach>, source: Source) {
+        let Some(terminal) = self.terminals.get(token) else { return };
+        let answer_target = attach.target.clone();
+        let relay = self.relays.insert(None, token, link, attach);
+        // The address is given to requests in the clear: it is not to be guessed by others.
+        let address = format!("reply/{relay}/{}", access::nonce());
+        let source = Source { address: Some(address.clone()), dynamic: Some(true), ..source };
+        let answer = Attach { source: Some(source), target: answer_target, ..Attach::default() };
+        terminal.conn.accept_link(link, answer);
+        terminal.links.insert(link, Use::Relay(relay));
+        self.relays.name(address, relay);
+        self.terminals.touch(token);
+    }
+
+    /// A terminal's link is gone, and nobody waits for what was on it.
+    fn link_gone(&mut self, ctx: &mut Ctx, token: Token, link: LinkId) {
+        match self.terminals.remove_link(token, link) {
+            Some(Use::Intake(intake)) => {
+                if let Partial::Gathering(bytes) = intake.partial {
+                    self.items.uncount(bytes.len());
+                }
+            }
+            Some(Use::Relay(relay)) => self.relay_left(ctx, relay),
+            None => {}
+        }
+    }
+
+    /// The terminal of a relay is gone.
+    fn relay_left(&mut self, ctx: &mut Ctx, relay: u64) {
+        if let Some(gone) = self.relays.remove(relay, &mut self.regions) {
+            if let Some(txn) = gone.txn {
+                ctx.core.left(ctx.now, txn);
+            }
+        }
+    }
+
+    pub(super) fn refuse_relay(&mut self, txn: RequestId, error: Error) {
+        let Some(relay) = self.relays.of(txn) else { return };
+        let Some(gone) = self.relays.remove(relay, &mut self.regions) else { return };
+        self.terminals.remove_link(gone.terminal, gone.link);
+        if let Some(terminal) = self.terminals.get(gone.terminal) {
+            terminal.conn.refuse_link(gone.link, error);
+        }
+        self.terminals.touch(gone.terminal);
+    }
+
+    // ---- Deliveries --------------------------------------------------------------------------------------
+
+    /// A part of a delivery has come.
+    fn part(&mut self, ctx: &mut Ctx, token: Token, link: LinkId, part: Part<'_>) {
+        let Some(terminal) = self.terminals.get(token) else { return };
+        let Some(Use::Intake(intake)) = terminal.links.get_mut(&link) else { return };
+        let class = intake.class;
+        let partial = std::mem::take(&mut intake.partial);
+        let next = if part.aborted {
+            match partial {
+                Partial::Gathering(bytes) => self.items.uncount(bytes.len()),
+                Partial::Running(txn) => self.left(ctx, txn),
+                Partial::None | Partial::Ignored => {}
+            }
+            Partial::None
+        } else {
+            match partial {
+                Partial::None => self.begins(ctx, token, link, class, &part, Vec::new()),
+                Partial::Gathering(bytes) => {
+                    self.items.uncount(bytes.len());
+                    self.begins(ctx, token, link, class, &part, bytes)
+                }
+                Partial::Running(txn) => match self.items.extend(txn, part.payload, part.last) {
+                    Some(item) => {
+                        if let Some(region) = item.task.as_ref().map(|task| task.region) {
+                            self.regions.touch(region);
+                        }
+                        Partial::Running(txn)
+                    }
+                    None => Partial::Ignored,
+                },
+                Partial::Ignored => Partial::Ignored,
+            }
+        };
+        if !part.last {
+            let links = self.terminals.get(token).map(|terminal| &mut terminal.links);
+            if let Some(Use::Intake(intake)) = links.and_then(|links| links.get_mut(&link)) {
+                intake.partial = next;
+            }
+        }
+        self.grant(token, link);
+    }
+
+    /// A delivery begins, or has not come far enough to say what it is.
+    fn begins(
+        &mut self,
+        ctx: &mut Ctx,
+        token: Token,
+        link: LinkId,
+        class: Option<usize>,
+        part: &Part<'_>,
+        mut bytes: Vec<u8>,
+    ) -> Partial {
+        bytes.extend_from_slice(part.payload);
+        let head = match (part.last, Head::read(&bytes)) {
+            (true, _) => Message::decode(&bytes).map(|message| message.head),
+            (false, Ok(Some(head))) => Ok(head),
+            (false, Ok(None)) if bytes.len() <= MOST_HEAD => {
+                self.items.count(bytes.len());
+                return Partial::Gathering(bytes);
+            }
+            (false, Ok(None)) => Err(DecodeError::TooMuch),
+            (false, Err(error)) => Err(error),
+        };
+        let refusal = match head {
+            Err(error) => Err(State::Rejected(Some(Box::new(error.into())))),
+            Ok(head) => self.take_in(ctx, token, link, class, part, head, bytes),
+        };
+        match refusal {
+            Ok(txn) => Partial::Running(txn),
+            Err(state) => {
+                if matches!(state, State::Rejected(_)) {
+                    ctx.core.counters.malformed += 1;
+                } else {
+                    ctx.core.counters.over_budget += 1;
+                }
+                if let Some(terminal) = self.terminals.get(token) {
+                    terminal.conn.settle(link.channel, part.id, state);
+                }
+                Partial::Ignored
+            }
+        }
+    }
+
+    /// A delivery is a transaction from here on, or is answered at once.
+    #[allow(clippy::too_many_arguments)]
+    fn take_in(
+        &mut self,
+        ctx: &mut Ctx,
+        token: Token,
+        link: LinkId,
+        class: Option<usize>,
+        part: &Part<'_>,
+        head: Head,
+        bytes: Vec<u8>,
+    ) -> Result<RequestId, State> {
+        let reject = |condition, words: &str| State::Rejected(Some(Box::new(Error::new(condition, words))));
+        if part.resume {
+            // Nothing is known of a delivery from before: whether it ran cannot be told.
+            let words = "nothing is known of this delivery";
+            return Err(reject(condition::NOT_FOUND, words));
+        }
+        let class = match class {
+            Some(class) => class,
+            None => {
+                let class = head.to.as_deref().and_then(|to| self.class(to));
+                let class = class.ok_or_else(|| reject(condition::NOT_FOUND, "`to` names no class"))?;
+                let may = self.terminals.get(token).is_some_and(|t| t.who.may(&self.classes[class]));
+                if !may {
+                    let words = "this user may not send to this class";
+                    return Err(reject(condition::UNAUTHORIZED_ACCESS, words));
+                }
+                class
+            }
+        };
+        if self.leaving || self.items.held() + bytes.len() > self.config.max_held {
+            return Err(refused(COME_AGAIN));
+        }
+        let limit = ctx.classes.get(class).map_or(0, |c| c.hard_limit);
+        let grace = head.ttl.map_or(limit, |ms| (Nanos::from(ms) * MS).min(MOST_WAIT));
+        let again = head.value(&bytes, "again") == Some(Value::Bool(true));
+        let arrival = arrival(class, grace, |name| head.property(&bytes, name), again);
+        let txn = ctx.core.arrive(ctx.now, self.id, arrival);
+        if let Some(terminal) = self.terminals.get(token) {
+            terminal.live += 1;
+            terminal.conn.name_delivery(link.channel, part.id, txn.0);
+        }
+        let item = Item { head, bytes, whole: part.last, ..item(token, link, part.id, class) };
+        self.items.insert(txn, item);
+        Ok(txn)
+    }
+
+    // ---- Who it is ---------------------------------------------------------------------------------------
+
+    fn asked(&mut self, ctx: &mut Ctx, token: Token, asked: Asked) {
+        let Some(users) = &self.config.known else {
+            if let Some(terminal) = self.terminals.get(token) {
+                terminal.conn.verdict(asked == Asked::Anonymous);
+            }
+            return;
+        };
+        match asked {
+            Asked::Anonymous => {
+                let who = users.anonymous();
+                self.verdict(ctx, token, who);
+            }
+            Asked::Keys { user } => {
+                let keys = users.keys(&user).cloned();
+                if let Some(terminal) = self.terminals.get(token) {
+                    terminal.conn.keys(keys, &access::fake_salt(&user), &access::nonce());
+                }
+            }
+            Asked::Proven { user, holds } => {
+                let who = users.named(&user).filter(|_| holds);
+                self.verdict(ctx, token, who);
+            }
+            Asked::Plain { user, password } => {
+                if self.checks.start(token, users, user, &password) {
+                    ctx.wheel.at(ctx.now, Due::Timer(self.id, token));
+                } else {
+                    self.verdict(ctx, token, None);
+                }
+            }
+            Asked::External => self.verdict(ctx, token, None),
+        }
+    }
+
+    /// Who is known comes in; who is not is told so later, which costs a guesser time.
+    fn verdict(&mut self, ctx: &mut Ctx, token: Token, who: Option<Rc<access::Who>>) {
+        let Some(terminal) = self.terminals.get(token) else { return };
+        match who {
+            Some(who) => {
+                terminal.who = who;
+                terminal.conn.verdict(true);
+                self.terminals.touch(token);
+            }
+            None => {
+                self.refused_logins += 1;
+                terminal.refuse_at = Some(ctx.now + WRONG_PASSWORD_COSTS);
+                ctx.wheel.at(ctx.now + WRONG_PASSWORD_COSTS, Due::Timer(self.id, token));
+            }
+        }
+    }
+
+    pub(super) fn refuse_due(&mut self, ctx: &mut Ctx, token: Token) {
+        let Some(terminal) = self.terminals.get(token) else { return };
+        if terminal.refuse_at.is_some_and(|at| at <= ctx.now) {
+            terminal.refuse_at = None;
+            terminal.conn.verdict(false);
+            self.terminals.touch(token);
+        }
+    }
+
+    /// One slice of one password a tick, whoever waits: the loop feels none of them.
+    pub(super) fn check_passwords(&mut self, ctx: &mut Ctx) {
+        let Some((token, user, holds)) = self.checks.step() else {
+            if let Some(token) = self.checks.first() {
+                ctx.wheel.at(ctx.now, Due::Timer(self.id, token));
+            }
+            return;
+        };
+        let who = self.config.known.as_ref().and_then(|users| users.named(&user)).filter(|_| holds);
+        self.verdict(ctx, token, who);
+        if let Some(token) = self.checks.first() {
+            ctx.wheel.at(ctx.now, Due::Timer(self.id, token));
+        }
+    }
+
+    // ---- Time and the end ----------------------------------------------------------------------------------
+
+    pub(super) fn terminal_gone(&mut self, ctx: &mut Ctx, token: Token) {
+        if let Some(terminal) = self.terminals.get(token) {
+            let out = terminal.conn.take_out(ctx.now);
+            ctx.net.send(token, &out);
+        }
+        ctx.net.close(token);
+        let Some(mut terminal) = self.terminals.remove(token) else { return };
+        for (_, role, key) in terminal.conn.abandon() {
+            if role == Role::Receiver {
+                self.left(ctx, RequestId(key));
+            }
+        }
+        let mut links: Vec<(LinkId, Use)> = terminal.links.drain().collect();
+        links.sort_unstable_by_key(|(link, _)| *link);
+        for (_, kind) in links {
+            match kind {
+                Use::Relay(relay) => self.relay_left(ctx, relay),
+                Use::Intake(intake) => {
+                    if let Partial::Gathering(bytes) = intake.partial {
+                        self.items.uncount(bytes.len());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Links whose credit shrank while there was no room get it back.
+    pub(super) fn grant_all(&mut self) {
+        for token in self.terminals.tokens() {
+            let Some(terminal) = self.terminals.get(token) else { continue };
+            let starved = |(link, kind): (&LinkId, &Use)| {
+                (matches!(kind, Use::Intake(_)) && terminal.conn.credit(*link) == 0).then_some(*link)
+            };
+            let starved: Vec<LinkId> = terminal.links.iter().filter_map(starved).collect();
+            starved.into_iter().for_each(|link| self.grant(token, link));
+        }
+    }
+
+    pub(super) fn look_at_terminals(&mut self, ctx: &mut Ctx) {
+        let redirect = self.config.redirect.clone();
+        for token in self.terminals.tokens() {
+            let Some(terminal) = self.terminals.get(token) else { continue };
+            let relays = terminal.links.values().any(|kind| matches!(kind, Use::Relay(_)));
+            if let Err(why) = terminal.conn.tick(ctx.now) {
+                terminal.conn.close(Some(Box::new(why.into())));
+            } else if self.leaving && terminal.live == 0 && !relays {
+                terminal.conn.close(Some(Box::new(farewell(redirect.as_ref()))));
+            }
+            self.terminals.touch(token);
+        }
+    }
+}
+
+/// Why the node closes a connection when it leaves (part 2, 2.8.16).
+fn farewell(redirect: Option<&config::Redirect>) -> Error {
+    let Some(to) = redirect else { return Error::new(condition::CONNECTION_FORCED, "the node leaves") };
+    let info = vec![
+        (Value::symbol("hostname"), Value::text(&to.hostname)),
+        (Value::symbol("network-host"), Value::text(&to.network_host)),
+        (Value::symbol("port"), Value::Ushort(to.port)),
+    ];
+    Error {
+        info: Some(Value::Map(info)),
+        ..Error::new(condition::CONNECTION_REDIRECT, "the node leaves; connect there")
+    }
+}
+
+/// What the core is told of a request; `property` looks up its key and its group.
+fn arrival(class: usize, grace: Nanos, property: impl Fn(&str) -> Option<String>, again: bool) -> Arrival {
+    let key = property("key").map(|key| u64::from_str_radix(&key, 16).unwrap_or_else(|_| tag(&key)));
+    Arrival {
+        id: RequestId(0),
+        class,
+        grace: grace.saturating_sub(ANSWER_MARGIN),
+        cost: None,
+        key,
+        group: property("group").map(|group| tag(&group)),
+        came_back: again,
+        rerouted: false,
+    }
+}
--- a/src/front/amqp/mod.rs
+++ b/src/front/amqp/mod.rs
@@ -1,153 +1,357 @@
-//! AMQP 1.0: one delivery is one transaction.
+//! AMQP 1.0. A terminal's delivery is a transaction whose answer is its outcome; a terminal's receiving
+//! link is a transaction that stands once its region sends. The protocol is `sparbank-amqp`'s.
 //!
-//! A terminal's link names the class in its target address; the answer is the delivery's outcome.
-//! Regions are met on one connection each, with a link for every class.
+//! `terminals`, `regions`, `items` and `relays` each own one table; here is what passes between them.
 
-pub mod codec;
-mod connection;
-mod link;
+mod access;
+mod config;
+mod from_regions;
+mod from_terminals;
+mod items;
 mod regions;
-mod session;
+mod relays;
 mod terminals;
 
-use super::Ctx;
-use crate::config::{AmqpConfig, Facts};
-use crate::interface::*;
-use crate::net::{Notice, Token};
-use codec::{Message, Value};
-use std::collections::HashMap;
-
-/// Messages of all transactions together: beyond this new ones are refused.
-const MOST_HELD: usize = 8 * 1024 * 1024;
-
-/// A delivery that is not answered yet.
-struct Item {
-    terminal: Token,
-    channel: u16,
-    handle: u32,
-    delivery: u32,
-    settled: bool,
-    address: String,
-    message: Message,
-    size: usize,
-    task: Option<Task>,
-}
+pub use access::{add_user, Rights};
 
-/// The routed task of a delivery.
-struct Task {
-    region: ServerId,
-    until: Nanos,
-    stage: Stage,
-}
+use super::{Ctx, Front, Opened, Optional};
+use crate::config::Facts;
+use crate::core::FrontId;
+use crate::interface::{Arrival, Nanos, Outcome, RequestId, ServerId};
+use crate::net::{Net, Notice, Owner, Token};
+use config::AmqpConfig;
+use items::{Item, Items, Stage, Task};
+use regions::{Happened, Regions};
+use relays::{Relays, Sides};
+use sparbank_amqp::{condition, Error, State, Value};
+use std::any::Any;
+use terminals::Terminals;
 
-enum Stage {
-    /// No byte has gone out: it never ran.
-    Queued,
-    /// A part has: it can be aborted, and then never ran.
-    Sending { id: u32, bytes: Vec<u8>, at: usize },
-    /// All has, or will have once the connection has written this far: it may run.
-    Sent { id: u32, end: u64 },
-}
+/// How this front is turned on.
+pub const OPTIONAL: Optional = Optional {
+    name: "amqp",
+    read: |path| Ok(Box::new(AmqpConfig::read(path)?)),
+    open: |id, file, net, name, facts| {
+        let config = file.downcast::<AmqpConfig>().map_err(|_| "not this front's file".to_string())?;
+        AmqpFront::open(id, *config, net, name, facts)
+    },
+};
+
+/// Advice to those that come while there is no room, in milliseconds.
+const COME_AGAIN: u32 = 500;
 
 /// The front.
 pub struct AmqpFront {
+    id: FrontId,
     config: AmqpConfig,
     container: String,
     classes: Vec<String>,
-    terminals: HashMap<Token, terminals::Terminal>,
-    regions: HashMap<ServerId, regions::Region>,
-    tokens: HashMap<Token, ServerId>,
-    items: HashMap<RequestId, Item>,
-    held: usize,
+    terminals: Terminals,
+    regions: Regions,
+    items: Items,
+    relays: Relays,
+    checks: access::Checks,
+    aborted: u64,
+    refused_logins: u64,
     leaving: bool,
 }
 
 impl AmqpFront {
-    pub fn new(config: AmqpConfig, container: &str, facts: &Facts) -> AmqpFront {
-        AmqpFront {
+    fn open(
+        id: FrontId,
+        config: AmqpConfig,
+        net: &mut Net,
+        name: &str,
+        facts: &Facts,
+    ) -> Result<Opened, String> {
+        let at = net.listen(config.listen, Owner::Front(id)).map_err(|e| format!("amqp listen: {e}"))?;
+        let classes: Vec<String> = facts.classes.iter().map(|c| c.name.clone()).collect();
+        let front = AmqpFront {
+            id,
+            container: name.to_string(),
+            regions: Regions::new(id, name, classes.clone()),
+            classes,
             config,
-            container: container.to_string(),
-            classes: facts.classes.iter().map(|c| c.name.clone()).collect(),
-            terminals: HashMap::new(),
-            regions: HashMap::new(),
-            tokens: HashMap::new(),
-            items: HashMap::new(),
-            held: 0,
+            terminals: Terminals::default(),
+            items: Items::default(),
+            relays: Relays::default(),
+            checks: access::Checks::default(),
+            aborted: 0,
+            refused_logins: 0,
             leaving: false,
+        };
+        Ok((Box::new(front), format!("listen={at}")))
+    }
+
+    // ---- What happened at the regions ------------------------------------------------------------
+
+    fn happened(&mut self, ctx: &mut Ctx, happened: Vec<Happened>) {
+        for what in happened {
+            match what {
+                Happened::Over(txn, outcome) => self.over(ctx, txn, outcome),
+                Happened::NoRelay(relay) => self.relay_failed(ctx, relay, Outcome::ConnectFailed),
+            }
         }
     }
 
-    /// Takes a newer file over: from here on it holds for what begins. False where only a restart could
-    /// do all of it, as for the address that the node listens at.
-    pub fn take_over(&mut self, new: AmqpConfig) -> bool {
-        let same = new.listen == self.config.listen;
-        self.config = AmqpConfig { listen: self.config.listen, ..new };
-        same
+    /// The routed task of a delivery is over.
+    fn over(&mut self, ctx: &mut Ctx, txn: RequestId, outcome: Outcome) {
+        let Some(item) = self.items.get_mut(txn) else { return };
+        item.task = None;
+        let again = item.is_repeatable();
+        if outcome != Outcome::Ok && !again && ctx.core.spent(ctx.now, txn, outcome) {
+            return self.answer(ctx, txn, failed());
+        }
+        if ctx.core.task_ended(ctx.now, txn, outcome) {
+            self.answer(ctx, txn, State::Accepted);
+        }
     }
 
-    pub fn is_idle(&self) -> bool {
-        self.terminals.is_empty()
+    /// The routed task of a relay is over before it stood: another may be tried.
+    fn relay_failed(&mut self, ctx: &mut Ctx, relay: u64, outcome: Outcome) {
+        self.relays.take_back(relay, &mut self.regions);
+        if let Some(txn) = self.relays.get(relay).filter(|r| !r.up).and_then(|r| r.txn) {
+            ctx.core.task_ended(ctx.now, txn, outcome);
+        }
+    }
+
+    // ---- Answers -------------------------------------------------------------------------------------
+
+    /// The final answer to a delivery.
+    fn answer(&mut self, _ctx: &mut Ctx, txn: RequestId, state: State) {
+        let Some(item) = self.items.remove(txn) else { return };
+        if let Some(terminal) = self.terminals.get(item.terminal) {
+            terminal.live -= 1;
+            terminal.conn.settle(item.link.channel, item.delivery, state);
+            self.terminals.touch(item.terminal);
+            self.grant(item.terminal, item.link);
+        }
+    }
+
+    fn grant(&mut self, token: Token, link: sparbank_amqp::LinkId) {
+        if !self.leaving {
+            self.terminals.grant(token, link, &self.config, self.items.held());
+        }
+    }
+
+    /// The terminal gave a transaction up, or is gone.
+    fn left(&mut self, ctx: &mut Ctx, txn: RequestId) {
+        self.give_up(ctx, txn);
+        ctx.core.left(ctx.now, txn);
+        if let Some(item) = self.items.remove(txn) {
+            if let Some(terminal) = self.terminals.get(item.terminal) {
+                terminal.live -= 1;
+            }
+        }
     }
 
-    pub fn notice(&mut self, ctx: &mut Ctx, notice: Notice) {
-        match self.tokens.get(&notice.token) {
-            Some(region) => self.region_notice(ctx, *region, notice),
+    /// A standing connection ends at its terminal: detached between two deliveries, with the reason.
+    fn end_terminal_link(&mut self, token: Token, link: sparbank_amqp::LinkId, error: Option<Error>) {
+        self.terminals.remove_link(token, link);
+        if let Some(terminal) = self.terminals.get(token) {
+            if terminal.conn.is_sending(link) {
+                self.aborted += 1;
+                terminal.conn.abort(link);
+            }
+            terminal.conn.detach(link, true, error.map(Box::new));
+        }
+        self.terminals.touch(token);
+    }
+}
+
+/// Refused: it did not run, and trying again after this is harmless.
+fn refused(after_ms: u32) -> State {
+    let after = vec![(Value::symbol("retry-after"), Value::Uint(after_ms))];
+    let annotations = Some(Box::new(Value::Map(after)));
+    State::Modified { failed: false, undeliverable_here: false, annotations }
+}
+
+/// Failed: it may have run.
+fn failed() -> State {
+    State::Modified { failed: true, undeliverable_here: false, annotations: None }
+}
+
+/// An error that says when to come again.
+fn come_again(condition: &str, words: &str, after_ms: u32) -> Error {
+    let info = Value::Map(vec![(Value::symbol("retry-after"), Value::Uint(after_ms))]);
+    Error { info: Some(info), ..Error::new(condition, words) }
+}
+
+impl Front for AmqpFront {
+    fn notice(&mut self, ctx: &mut Ctx, notice: Notice) {
+        match self.regions.of(notice.token) {
+            Some(_) => self.region_notice(ctx, notice),
             None => self.terminal_notice(ctx, notice),
         }
     }
 
-    /// Once in a while: heartbeats, silent peers, and the end of connections when the node leaves.
-    pub fn look(&mut self, ctx: &mut Ctx) {
-        self.look_at_terminals(ctx);
-        self.look_at_regions(ctx);
+    fn start(&mut self, ctx: &mut Ctx, txn: RequestId, region: ServerId, wait: Nanos) {
+        if let Some(id) = self.relays.of(txn) {
+            if let Some(relay) = self.relays.get(id) {
+                relay.region = Some(region);
+                let attach = from_terminals::towards_region(&relay.attach);
+                self.regions.relay(region, id, Box::new(attach));
+            }
+            return;
+        }
+        if let Some(item) = self.items.get_mut(txn) {
+            item.task = Some(Task { region, until: ctx.now + wait, stage: Stage::Queued });
+            self.regions.queue(region, item.class, item.terminal, txn);
+        }
     }
 
-    /// The node is leaving: no more deliveries are asked for, and idle connections end.
-    pub fn leave(&mut self, ctx: &mut Ctx) {
-        if !std::mem::replace(&mut self.leaving, true) {
-            self.stop_credit(ctx);
+    fn give_up(&mut self, ctx: &mut Ctx, txn: RequestId) -> Outcome {
+        if let Some(relay) = self.relays.of(txn) {
+            let unsent = self.relays.take_back(relay, &mut self.regions);
+            return if unsent { Outcome::ConnectFailed } else { Outcome::Timeout };
         }
-        self.look_at_terminals(ctx);
+        let Some(item) = self.items.get_mut(txn) else { return Outcome::Cancelled };
+        let Some(task) = item.task.take() else { return Outcome::Cancelled };
+        let (region, class) = (task.region, item.class);
+        let outcome = match task.stage {
+            Stage::Queued => {
+                self.regions.unqueue(region, class, item.terminal, txn);
+                Outcome::ConnectFailed
+            }
+            Stage::Sending { token, link, .. } => {
+                self.aborted += 1;
+                if let Some(at) = self.regions.get(token) {
+                    at.conn.abort(link);
+                }
+                self.regions.free_lane(region, class, txn);
+                Outcome::ConnectFailed
+            }
+            Stage::Sent { token, link, id, end } => {
+                let written = ctx.net.written(token) >= end;
+                if let Some(at) = self.regions.get(token) {
+                    at.conn.forget(link, id);
+                }
+                self.regions.touch(region);
+                if written {
+                    Outcome::Timeout
+                } else {
+                    Outcome::Reset
+                }
+            }
+        };
+        outcome
     }
 
-    // ---- What the core wants -------------------------------------------------------------------
+    fn refuse(&mut self, ctx: &mut Ctx, txn: RequestId, cool_down: Nanos) {
+        let after = (cool_down / 1_000_000) as u32;
+        let words = "no region takes it now; come again";
+        self.refuse_relay(txn, come_again(condition::RESOURCE_LIMIT_EXCEEDED, words, after));
+        self.answer(ctx, txn, refused(after));
+    }
 
-    /// Refused: it did not run, and the terminal may come again after this.
-    pub fn refuse(&mut self, ctx: &mut Ctx, txn: RequestId, cool_down: Nanos) {
-        let after = Value::Uint((cool_down / 1_000_000) as u32);
-        let notes = Value::Map(vec![(Value::Symbol("retry-after".into()), after)]);
-        self.answer(ctx, txn, Value::composite(0x27, vec![Value::Bool(false), Value::Null, notes]));
+    fn fail(&mut self, ctx: &mut Ctx, txn: RequestId) {
+        self.refuse_relay(txn, Error::new(condition::INTERNAL_ERROR, "no region could serve it"));
+        self.answer(ctx, txn, failed());
     }
 
-    /// Failed: it may have run.
-    pub fn fail(&mut self, ctx: &mut Ctx, txn: RequestId) {
-        self.answer(ctx, txn, Value::composite(0x27, vec![Value::Bool(true)]));
+    fn send_away(&mut self, _ctx: &mut Ctx, txn: RequestId) {
+        let Some(relay) = self.relays.of(txn) else { return };
+        if let Some(gone) = self.relays.remove(relay, &mut self.regions) {
+            let error = come_again(condition::DETACH_FORCED, "moved: come again", 0);
+            self.end_terminal_link(gone.terminal, gone.link, Some(error));
+        }
     }
 
-    fn accepted(&mut self, ctx: &mut Ctx, txn: RequestId) {
-        self.answer(ctx, txn, Value::composite(0x24, Vec::new()));
+    fn drained(&mut self, ctx: &mut Ctx, stopped: &[ServerId]) {
+        for txn in self.items.unsent(stopped) {
+            self.give_up(ctx, txn);
+            self.over(ctx, txn, Outcome::ConnectFailed);
+        }
+        for (_, relay) in self.relays.unsent(stopped) {
+            self.relay_failed(ctx, relay, Outcome::ConnectFailed);
+        }
     }
 
-    /// The routed task of a transaction is over.
-    fn over(&mut self, ctx: &mut Ctx, txn: RequestId, outcome: Outcome) {
-        if let Some(item) = self.items.get_mut(&txn) {
-            item.task = None;
+    fn is_idle(&self) -> bool {
+        self.terminals.is_empty()
+    }
+
+    fn dial_due(&mut self, ctx: &mut Ctx, token: Token) {
+        if self.regions.is_late(token) {
+            self.lose_region(ctx, token);
         }
-        if ctx.core.task_ended(ctx.now, txn, outcome) {
-            self.accepted(ctx, txn);
+    }
+
+    fn timer_due(&mut self, ctx: &mut Ctx, token: Token) {
+        self.check_passwords(ctx);
+        self.refuse_due(ctx, token);
+    }
+
+    fn look(&mut self, ctx: &mut Ctx) {
+        self.look_at_terminals(ctx);
+        self.look_at_regions(ctx);
+        if self.items.held() < self.config.max_held / 2 {
+            self.grant_all();
         }
     }
 
-    fn forget(&mut self, txn: RequestId) -> Option<Item> {
-        let item = self.items.remove(&txn)?;
-        self.held -= item.size;
-        Some(item)
+    fn flush(&mut self, ctx: &mut Ctx) {
+        let happened = self.regions.flush(ctx, &self.config, &mut self.items);
+        self.happened(ctx, happened);
+        if self.items.held() < self.config.max_held / 4 * 3 {
+            for token in self.terminals.take_paused() {
+                self.read_terminal(ctx, token);
+            }
+        }
+        for token in self.terminals.take_dirty() {
+            if !self.terminals.flush(ctx, token) {
+                self.terminal_gone(ctx, token);
+            }
+        }
     }
 
-    /// The terminal gave a transaction up, or is gone.
-    fn left(&mut self, ctx: &mut Ctx, txn: RequestId) {
-        self.give_up(ctx, txn);
-        ctx.core.left(ctx.now, txn);
-        self.forget(txn);
+    fn leave(&mut self, ctx: &mut Ctx) {
+        if !std::mem::replace(&mut self.leaving, true) {
+            for token in self.terminals.tokens() {
+                self.terminals.stop_credit(token);
+            }
+        }
+        self.look_at_terminals(ctx);
+    }
+
+    fn take_over(&mut self, new: Box<dyn Any>) -> Vec<&'static str> {
+        let Ok(new) = new.downcast::<AmqpConfig>() else { return Vec::new() };
+        let fixed = if new.listen == self.config.listen { Vec::new() } else { vec!["amqp listen"] };
+        self.config = AmqpConfig { listen: self.config.listen, ..*new };
+        fixed
+    }
+
+    fn counters(&self) -> Option<String> {
+        Some(format!(
+            "terminals={} regions={} relays={} relayed={} held={} held_most={} aborted={} logins_refused={}",
+            self.terminals.len(),
+            self.regions.len(),
+            self.relays.len(),
+            self.relays.relayed,
+            self.items.held(),
+            self.items.most_held,
+            self.aborted,
+            self.refused_logins,
+        ))
+    }
+}
+
+/// What is passed between the sides of a relay.
+fn sides<'a>(terminals: &'a mut Terminals, regions: &'a mut Regions) -> Sides<'a> {
+    Sides { terminals, regions }
+}
+
+/// A delivery as it is taken in.
+fn item(terminal: Token, link: sparbank_amqp::LinkId, delivery: u32, class: usize) -> Item {
+    Item {
+        terminal,
+        link,
+        delivery,
+        class,
+        head: Default::default(),
+        bytes: Vec::new(),
+        base: 0,
+        whole: false,
+        task: None,
     }
 }
--- a/src/front/amqp/regions.rs
+++ b/src/front/amqp/regions.rs
@@ -1,403 +1,520 @@
-//! The regions' side: one connection and session each, a link for every class, a delivery a routed task.
-
-use super::codec::*;
-use super::connection::{Connection, Fault};
-use super::link::Outlet;
-use super::session::Session;
-use super::{AmqpFront, Ctx, Stage, Task};
-use crate::front::Due;
-use crate::interface::*;
-use crate::net::{Kind, Notice, Owner, Token, SLOW};
-use std::collections::{BTreeMap, HashMap};
-
-/// Our one channel.
-const CHANNEL: u16 = 0;
-
-/// A region's connection.
-pub struct Region {
+//! The regions' side: connections, sessions and lanes. A lane is a sending link for one class; a long
+//! message fills its lane and no other.
+
+use super::config::AmqpConfig;
+use super::items::{Items, Map, Stage, Turns};
+use crate::core::FrontId;
+use crate::front::{Ctx, Due};
+use crate::interface::{Outcome, RequestId, ServerId};
+use crate::net::{Owner, Token};
+use sparbank_amqp::{Attach, Connection, Credentials, LinkId, Outgoing, Role, Source, Target, Terminus};
+
+/// A lane sends no more than this before the next one has its turn.
+const CHUNK: usize = 16 * 1024;
+/// With so much unwritten a connection is full.
+const AHEAD: usize = 64 * 1024;
+
+/// A connection to a region.
+pub struct Link {
+    pub region: ServerId,
+    pub conn: Connection,
+    /// What its links are for.
+    pub uses: Map<LinkId, Use>,
+}
+
+/// What a link to a region is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// Deliveries of a class go out on it.
+    Lane(usize),
+    /// A relay's deliveries come in on it.
+    Relay(u64),
+}
+
+/// A sending link.
+struct Lane {
     token: Token,
-    connection: Connection,
-    session: Session,
-    begin_sent: bool,
-    begun: bool,
-    outlets: BTreeMap<String, Outlet>,
-    next_handle: u32,
-    next_delivery: u32,
-    deliveries: HashMap<u32, RequestId>,
+    link: LinkId,
+    /// The delivery that has begun on it and not gone whole.
+    current: Option<RequestId>,
 }
 
-impl Region {
-    fn attach(connection: &mut Connection, address: &str, outlet: &Outlet) {
-        let target = Value::composite(0x29, vec![Value::Text(address.to_string())]);
-        let attach = Attach {
-            name: Some(address.to_string()),
-            handle: Some(outlet.handle),
-            role: Some(false),
-            snd_settle_mode: Some(0),
-            rcv_settle_mode: Some(0),
-            source: Some(Value::composite(0x28, Vec::new())),
-            target: Some(target),
-            initial_delivery_count: Some(0),
-            ..Attach::default()
-        };
-        connection.put(CHANNEL, attach);
-    }
+#[derive(Default)]
+struct Outlet {
+    turns: Turns,
+    lanes: Vec<Lane>,
 }
 
-impl AmqpFront {
-    /// Starts a routed task.
-    pub fn start(&mut self, ctx: &mut Ctx, txn: RequestId, region: ServerId, wait: Nanos) {
-        let Some(item) = self.items.get_mut(&txn) else { return };
-        let address = item.address.clone();
-        item.task = Some(Task { region, until: ctx.now + wait, stage: Stage::Queued });
-        if !self.regions.contains_key(&region) && !self.dial(ctx, region) {
-            return self.over(ctx, txn, Outcome::ConnectFailed);
+/// A region.
+#[derive(Default)]
+struct Region {
+    conns: Vec<Token>,
+    outlets: Vec<Outlet>,
+    /// Relays that wait for a session.
+    relays: Vec<(u64, Box<Attach>)>,
+    /// It answered SASL with AMQP: it has none.
+    no_sasl: bool,
+    dirty: bool,
+    /// Whose lane is served first changes from turn to turn.
+    turn: usize,
+}
+
+/// What became of things at the regions.
+pub enum Happened {
+    /// A routed task is over.
+    Over(RequestId, Outcome),
+    /// A relay never got its link: no connection, or no room.
+    NoRelay(u64),
+}
+
+/// The table.
+pub struct Regions {
+    front: FrontId,
+    container: String,
+    classes: Vec<String>,
+    map: Map<ServerId, Region>,
+    links: Map<Token, Link>,
+    dirty: Vec<ServerId>,
+    /// A message's first octets, put together for its first frame.
+    scratch: Vec<u8>,
+}
+
+impl Regions {
+    pub fn new(front: FrontId, container: &str, classes: Vec<String>) -> Regions {
+        let container = container.to_string();
+        let (map, links, dirty, scratch) = (Map::default(), Map::default(), Vec::new(), Vec::new());
+        Regions { front, container, classes, map, links, dirty, scratch }
+    }
+
+    /// The region whose connection this is.
+    pub fn of(&self, token: Token) -> Option<ServerId> {
+        self.links.get(&token).map(|link| link.region)
+    }
+
+    pub fn get(&mut self, token: Token) -> Option<&mut Link> {
+        self.links.get_mut(&token)
+    }
+
+    /// A routed task waits for a lane.
+    pub fn queue(&mut self, region: ServerId, class: usize, terminal: Token, txn: RequestId) {
+        let classes = self.classes.len();
+        let at = self.map.entry(region).or_default();
+        if at.outlets.is_empty() {
+            at.outlets.resize_with(classes, Outlet::default);
         }
-        let Some(at) = self.regions.get_mut(&region) else { return };
-        let Region { connection, outlets, next_handle, begun, .. } = at;
-        let outlet = outlets.entry(address).or_insert_with_key(|address| {
-            let outlet = Outlet::new(*next_handle);
-            *next_handle += 1;
-            if *begun {
-                Region::attach(connection, address, &outlet);
-            }
-            outlet
-        });
-        outlet.queue.push_back(txn);
-        self.pump(ctx, region);
+        at.outlets[class].turns.push(terminal, txn);
+        self.touch(region);
     }
 
-    fn dial(&mut self, ctx: &mut Ctx, region: ServerId) -> bool {
+    /// A relay wants a receiving link: its attach is sent as soon as there is a session.
+    pub fn relay(&mut self, region: ServerId, relay: u64, attach: Box<Attach>) {
+        self.map.entry(region).or_default().relays.push((relay, attach));
+        self.touch(region);
+    }
+
+    /// There may be something to do for a region at the end of the turn.
+    pub fn touch(&mut self, region: ServerId) {
+        if let Some(at) = self.map.get_mut(&region).filter(|at| !at.dirty) {
+            at.dirty = true;
+            self.dirty.push(region);
+        }
+    }
+
+    /// There may be something to write on a connection.
+    pub fn touch_link(&mut self, token: Token) {
+        if let Some(region) = self.of(token) {
+            self.touch(region);
+        }
+    }
+
+    // ---- Connections -----------------------------------------------------------------------------
+
+    fn dial(&mut self, ctx: &mut Ctx, config: &AmqpConfig, region: ServerId) -> bool {
         let Some(known) = ctx.table.region(region) else { return false };
-        let addr = self.config.regions.get(&known.name).copied().unwrap_or(known.addr);
-        let Ok(token) = ctx.net.connect(addr, Owner::Amqp) else { return false };
-        let (frame, idle) = (self.config.max_frame, self.config.idle_ms);
-        let connection = Connection::new(ctx.now, true, &self.container, frame, idle);
-        let at = Region {
-            token,
-            connection,
-            session: Session::new(),
-            begin_sent: false,
-            begun: false,
-            outlets: BTreeMap::new(),
-            next_handle: 0,
-            next_delivery: 0,
-            deliveries: HashMap::new(),
-        };
-        self.regions.insert(region, at);
-        self.tokens.insert(token, region);
-        ctx.wheel.at(ctx.now + ctx.facts.limits.dial_timeout_ns, Due::Dial(Owner::Amqp, token));
+        let (addr, mut credentials) = config.place(&known.name, known.addr, &super::access::nonce());
+        let Some(at) = self.map.get_mut(&region) else { return false };
+        if at.no_sasl && credentials == Some(Credentials::Anonymous) {
+            credentials = None;
+        }
+        let Ok(token) = ctx.net.connect(addr, Owner::Front(self.front)) else { return false };
+        ctx.net.read_ahead(token, config.max_frame as usize + 1024);
+        let conn = Connection::dial(ctx.now, config.region(&self.container), credentials);
+        at.conns.push(token);
+        self.links.insert(token, Link { region, conn, uses: Map::default() });
+        ctx.wheel.at(ctx.now + ctx.facts.limits.dial_timeout_ns, Due::Dial(self.front, token));
+        self.write(ctx, token);
         true
     }
 
-    /// A connection should be open by now.
-    pub fn dial_due(&mut self, ctx: &mut Ctx, token: Token) {
-        if let Some(region) = self.tokens.get(&token).copied() {
-            if self.regions.get(&region).is_some_and(|at| !at.connection.is_open()) {
-                self.lose(ctx, region);
+    fn write(&mut self, ctx: &mut Ctx, token: Token) {
+        if let Some(link) = self.links.get_mut(&token) {
+            let out = link.conn.take_out(ctx.now);
+            if !out.is_empty() {
+                ctx.net.send(token, &out);
             }
         }
     }
 
-    pub(super) fn region_notice(&mut self, ctx: &mut Ctx, region: ServerId, notice: Notice) {
-        let Some(at) = self.regions.get_mut(&region) else { return };
-        let mut fed = Ok(Vec::new());
-        if let Some(input) = ctx.net.input(at.token) {
-            fed = at.connection.feed(ctx.now, input);
+    /// A connection is over. What was on it never ran where its last byte was not written.
+    pub fn lose(&mut self, ctx: &mut Ctx, token: Token, items: &Items) -> (Vec<Happened>, Vec<u64>) {
+        let (mut happened, mut relays) = (Vec::new(), Vec::new());
+        let written = ctx.net.written(token);
+        ctx.net.close(token);
+        let Some(mut link) = self.links.remove(&token) else { return (happened, relays) };
+        for (at, role, key) in link.conn.abandon() {
+            if let (Some(Use::Lane(_)), Role::Sender) = (link.uses.get(&at), role) {
+                let txn = RequestId(key);
+                let stage = items.get(txn).and_then(|i| i.task.as_ref()).map(|t| &t.stage);
+                let ran = matches!(stage, Some(Stage::Sent { end, .. }) if *end <= written);
+                let outcome = if ran { Outcome::Reset } else { Outcome::ConnectFailed };
+                happened.push(Happened::Over(txn, outcome));
+            }
         }
-        if at.connection.is_open() && !at.begin_sent {
-            at.begin_sent = true;
-            let begin = at.session.begin(None, u32::MAX);
-            at.connection.put(CHANNEL, begin);
+        relays.extend(link.uses.values().filter_map(|u| if let Use::Relay(r) = u { Some(*r) } else { None }));
+        relays.sort_unstable();
+        let Some(region) = self.map.get_mut(&link.region) else { return (happened, relays) };
+        region.conns.retain(|conn| *conn != token);
+        for outlet in &mut region.outlets {
+            outlet.lanes.retain(|lane| lane.token != token);
         }
-        let taken = fed.and_then(|frames| {
-            frames.into_iter().try_for_each(|(_, body, _)| self.region_frame(ctx, region, body))
-        });
-        let Some(at) = self.regions.get_mut(&region) else { return };
-        if let Err(why) = &taken {
-            crate::log::line(format_args!("region-garbage reason={} {}", why.condition, why.words));
-            at.connection.close(Some(why));
+        if link.conn.peer_has_no_sasl() && !std::mem::replace(&mut region.no_sasl, true) {
+            // Once more without SASL: what waits there goes on waiting.
+            self.touch(link.region);
+            return (happened, relays);
         }
-        let token = at.token;
-        let over =
-            at.connection.is_closed() || ctx.net.at_end(token) || matches!(notice.kind, Kind::Broken(_));
-        if over {
-            return self.lose(ctx, region);
+        if region.conns.is_empty() {
+            let Some(region) = self.map.remove(&link.region) else { return (happened, relays) };
+            let (no_sasl, waiting) = (region.no_sasl, region.relays);
+            for mut outlet in region.outlets {
+                let queued = outlet.turns.drain().into_iter();
+                happened.extend(queued.map(|txn| Happened::Over(txn, Outcome::ConnectFailed)));
+            }
+            happened.extend(waiting.into_iter().map(|(relay, _)| Happened::NoRelay(relay)));
+            if no_sasl {
+                self.map.insert(link.region, Region { no_sasl, ..Region::default() });
+            }
         }
-        self.pump(ctx, region);
-        ctx.net.rearm(token);
+        (happened, relays)
     }
 
-    fn region_frame(&mut self, ctx: &mut Ctx, region: ServerId, body: Performative) -> Result<(), Fault> {
-        let Some(at) = self.regions.get_mut(&region) else { return Ok(()) };
-        match body {
-            Performative::Begin(begin) => {
-                at.session.began(&begin);
-                at.begun = true;
-                let Region { connection, outlets, .. } = at;
-                outlets.iter().for_each(|(address, outlet)| Region::attach(connection, address, outlet));
-            }
-            Performative::Attach(attach) => {
-                let found = at.outlets.iter_mut().find(|(name, _)| Some(*name) == attach.name.as_ref());
-                if let Some((_, outlet)) = found {
-                    // Without a target it is refused: its detach follows.
-                    outlet.attached = attach.target.is_some();
-                    outlet.remote_handle = attach.handle;
-                }
+    /// Whether a connection should be open by now and is not.
+    pub fn is_late(&self, token: Token) -> bool {
+        self.links.get(&token).is_some_and(|link| !link.conn.is_open())
+    }
+
+    pub fn tokens(&self) -> Vec<Token> {
+        let mut tokens: Vec<Token> = self.links.keys().copied().collect();
+        tokens.sort_unstable();
+        tokens
+    }
+
+    pub fn len(&self) -> usize {
+        self.links.len()
+    }
+
+    /// A connection that serves nothing and whose region gets nothing new.
+    pub fn is_done(&self, ctx: &Ctx, token: Token) -> bool {
+        let Some(link) = self.links.get(&token) else { return false };
+        let leaving = ctx.table.region(link.region).is_none_or(|region| !region.serving);
+        leaving
+            && link.conn.is_open()
+            && link
+                .uses
+                .iter()
+                .all(|(at, kind)| matches!(kind, Use::Lane(_)) && link.conn.unsettled(*at) == 0)
+    }
+
+    // ---- Lanes -------------------------------------------------------------------------------------
+
+    /// Attaches a link on the first session with room, or begins a session, or dials. None while that is
+    /// awaited; an error where there is no more to be had.
+    fn place(
+        &mut self,
+        ctx: &mut Ctx,
+        config: &AmqpConfig,
+        region: ServerId,
+        name: &str,
+        role: Role,
+        attach: &Attach,
+    ) -> Result<Option<(Token, LinkId)>, ()> {
+        let conns = self.map.get(&region).map_or(Vec::new(), |at| at.conns.clone());
+        for token in &conns {
+            let Some(link) = self.links.get_mut(token) else { continue };
+            if !link.conn.is_open() {
+                return Ok(None);
             }
-            Performative::Flow(flow) => {
-                at.session.flowed(&flow);
-                let mut reply = at.session.flow();
-                let mut answer = flow.echo == Some(true);
-                let link =
-                    at.outlets.values_mut().find(|o| flow.handle.is_some() && o.remote_handle == flow.handle);
-                if let Some(outlet) = link {
-                    outlet.flowed(&flow);
-                    if flow.drain == Some(true) && outlet.queue.is_empty() {
-                        outlet.drained();
-                        answer = true;
-                    }
-                    reply.handle = Some(outlet.handle);
-                    reply.delivery_count = Some(outlet.delivery_count);
-                    reply.link_credit = Some(outlet.credit());
-                    reply.drain = flow.drain;
+            for channel in link.conn.channels() {
+                if !link.conn.has_begun(channel) {
+                    return Ok(None);
                 }
-                if answer {
-                    at.connection.put(CHANNEL, reply);
+                if let Some(at) = link.conn.attach(channel, name, role, attach.clone()) {
+                    return Ok(Some((*token, at)));
                 }
             }
-            Performative::Disposition(d) if d.role == Some(true) => self.disposed(ctx, region, &d),
-            Performative::Detach(detach) => {
-                let found = at
-                    .outlets
-                    .iter()
-                    .find(|(_, o)| o.remote_handle.is_some() && o.remote_handle == detach.handle);
-                if let Some((address, handle)) = found.map(|(a, o)| (a.clone(), o.handle)) {
-                    at.outlets.remove(&address);
-                    at.connection
-                        .put(CHANNEL, Detach { handle: Some(handle), closed: detach.closed, error: None });
-                    self.lose_tasks(ctx, region, Some(&address));
-                }
+            if link.conn.begin().is_some() {
+                return Ok(None);
             }
-            Performative::End(_) => at.connection.close(None),
-            _ => {}
         }
-        Ok(())
+        if conns.len() < config.region_connections && self.dial(ctx, config, region) {
+            return Ok(None);
+        }
+        Err(())
     }
 
-    /// The region says how deliveries ended.
-    fn disposed(&mut self, ctx: &mut Ctx, region: ServerId, d: &Disposition) {
-        let Some(at) = self.regions.get_mut(&region) else { return };
-        let Some(first) = d.first else { return };
-        let last = d.last.unwrap_or(first);
-        let settled = d.settled == Some(true);
-        let outcome = match d.state.as_ref().and_then(Value::as_composite) {
-            Some((0x24, _)) => Outcome::Ok,
-            Some((0x25, _)) => Outcome::Error,
-            // Released, or modified without a failed delivery: it never ran.
-            Some((0x26, _)) => Outcome::Full,
-            Some((0x27, fields)) if fields.first() != Some(&Value::Bool(true)) => Outcome::Full,
-            // Anything else that settles it says nothing of what happened.
-            Some((0x27, _)) => Outcome::Error,
-            _ if settled => Outcome::Error,
-            _ => return,
+    fn add_lane(
+        &mut self,
+        ctx: &mut Ctx,
+        config: &AmqpConfig,
+        region: ServerId,
+        class: usize,
+    ) -> Result<(), ()> {
+        let count = self.map.get(&region).map_or(0, |at| at.outlets[class].lanes.len());
+        let address = self.classes[class].clone();
+        let name = if count == 0 { address.clone() } else { format!("{address}#{count}") };
+        let target = Target { address: Some(address), ..Target::default() };
+        let attach = Attach {
+            snd_settle_mode: Some(0),
+            rcv_settle_mode: Some(0),
+            source: Some(Source::default()),
+            target: Some(Terminus::Target(target)),
+            ..Attach::default()
         };
-        let mine = |id: &u32| id.wrapping_sub(first) <= last.wrapping_sub(first);
-        let mut over: Vec<(u32, RequestId)> =
-            at.deliveries.iter().filter(|(id, _)| mine(id)).map(|(id, txn)| (*id, *txn)).collect();
-        over.sort_unstable();
-        if !settled && !over.is_empty() {
-            let (role, settled, state) = (Some(false), Some(true), d.state.clone());
-            let (first, last) = (Some(first), Some(last));
-            let body = Disposition { role, first, last, settled, state, batchable: None };
-            at.connection.put(CHANNEL, body);
+        let Some((token, link)) = self.place(ctx, config, region, &name, Role::Sender, &attach)? else {
+            return Ok(());
+        };
+        if let Some(at) = self.links.get_mut(&token) {
+            at.uses.insert(link, Use::Lane(class));
         }
-        for (id, txn) in over {
-            at.deliveries.remove(&id);
-            if let Some(outlet) = at.outlets.values_mut().find(|o| o.sending == Some(txn)) {
-                // Answered before it had come whole: the rest must not follow.
-                outlet.give_up(id, true);
-            }
+        if let Some(at) = self.map.get_mut(&region) {
+            at.outlets[class].lanes.push(Lane { token, link, current: None });
         }
-        let ended: Vec<RequestId> = self.ended(region, &mine);
-        ended.into_iter().for_each(|txn| self.over(ctx, txn, outcome));
+        Ok(())
     }
 
-    /// Transactions whose routed task at this region has a delivery among these.
-    fn ended(&self, region: ServerId, mine: &dyn Fn(&u32) -> bool) -> Vec<RequestId> {
-        let hit = |task: &Task| {
-            task.region == region
-                && match &task.stage {
-                    Stage::Queued => false,
-                    Stage::Sending { id, .. } | Stage::Sent { id, .. } => mine(id),
-                }
-        };
-        let mut ended: Vec<RequestId> = self
-            .items
-            .iter()
-            .filter(|(_, item)| item.task.as_ref().is_some_and(hit))
-            .map(|(txn, _)| *txn)
-            .collect();
-        ended.sort_unstable();
-        ended
+    /// A lane's link is gone. What waits for it goes on waiting where there is another.
+    pub fn lane_gone(&mut self, token: Token, link: LinkId, class: usize) -> Vec<Happened> {
+        let Some(region) = self.of(token) else { return Vec::new() };
+        let Some(at) = self.map.get_mut(&region) else { return Vec::new() };
+        let outlet = &mut at.outlets[class];
+        outlet.lanes.retain(|lane| (lane.token, lane.link) != (token, link));
+        if !outlet.lanes.is_empty() {
+            self.touch(region);
+            return Vec::new();
+        }
+        let queued = outlet.turns.drain().into_iter();
+        queued.map(|txn| Happened::Over(txn, Outcome::ConnectFailed)).collect()
     }
 
-    /// Sends what credit, the session's window and the socket take.
-    fn pump(&mut self, ctx: &mut Ctx, region: ServerId) {
-        let Some(at) = self.regions.get_mut(&region) else { return };
-        let token = at.token;
-        let Region { connection, session, outlets, next_delivery, deliveries, .. } = at;
-        for outlet in outlets.values_mut() {
-            if let Some(id) = outlet.abort.filter(|_| session.remote_window > 0) {
-                let (handle, delivery_id, aborted) = (Some(outlet.handle), Some(id), Some(true));
-                connection.put(CHANNEL, Transfer { handle, delivery_id, aborted, ..Transfer::default() });
-                session.sent();
-                outlet.abort = None;
-            }
-            loop {
-                if let Some(item) = outlet.next().and_then(|txn| {
-                    deliveries.insert(*next_delivery, txn);
-                    self.items.get_mut(&txn)
-                }) {
-                    if let Some(task) = &mut item.task {
-                        let ttl = task.until.saturating_sub(ctx.now) / 1_000_000;
-                        let bytes = item.message.encode((ttl as u32).max(1));
-                        task.stage = Stage::Sending { id: *next_delivery, bytes, at: 0 };
-                        *next_delivery = next_delivery.wrapping_add(1);
-                    }
-                }
-                let Some(txn) = outlet.sending else { break };
-                let task = self.items.get_mut(&txn).and_then(|item| item.task.as_mut());
-                let Some(Task { stage, .. }) = task else {
-                    outlet.sending = None;
-                    continue;
-                };
-                let Stage::Sending { id, bytes, at } = stage else {
-                    outlet.sending = None;
-                    continue;
-                };
-                let ahead = ctx.net.unwritten(token) + connection.out.len();
-                if session.remote_window == 0 || ahead >= SLOW {
-                    break;
-                }
-                let end = (*at + connection.room()).min(bytes.len());
-                let more = end < bytes.len();
-                let transfer = Transfer {
-                    handle: Some(outlet.handle),
-                    delivery_id: Some(*id),
-                    delivery_tag: Some(txn.0.to_be_bytes().to_vec()),
-                    message_format: Some(0),
-                    settled: Some(false),
-                    more: Some(more),
-                    ..Transfer::default()
-                };
-                connection.put_with(CHANNEL, transfer, &bytes[*at..end]);
-                session.sent();
-                *at = end;
-                if !more {
-                    let end = ctx.net.position(token) + connection.out.len() as u64;
-                    *stage = Stage::Sent { id: *id, end };
-                    outlet.sending = None;
-                }
+    /// A delivery was answered before it had gone whole: its lane is free again.
+    pub fn free_lane(&mut self, region: ServerId, class: usize, txn: RequestId) {
+        if let Some(at) = self.map.get_mut(&region) {
+            for lane in at.outlets[class].lanes.iter_mut().filter(|lane| lane.current == Some(txn)) {
+                lane.current = None;
             }
         }
-        let out = connection.take_out(ctx.now);
-        ctx.net.send(token, &out);
+        self.touch(region);
     }
 
-    /// Takes a routed task back from its region and says what that makes of it.
-    pub fn give_up(&mut self, ctx: &mut Ctx, txn: RequestId) -> Outcome {
-        let Some(item) = self.items.get_mut(&txn) else { return Outcome::Cancelled };
-        let Some(task) = item.task.take() else { return Outcome::Cancelled };
-        let Some(at) = self.regions.get_mut(&task.region) else { return Outcome::Reset };
-        let Some(outlet) = at.outlets.get_mut(&item.address) else { return Outcome::Reset };
-        let outcome = match task.stage {
-            Stage::Queued => {
-                outlet.queue.retain(|queued| *queued != txn);
-                Outcome::ConnectFailed
-            }
-            Stage::Sending { id, at: sent, .. } => {
-                outlet.give_up(id, sent > 0);
-                at.deliveries.remove(&id);
-                Outcome::ConnectFailed
-            }
-            Stage::Sent { id, .. } => {
-                at.deliveries.remove(&id);
-                let (role, first, settled) = (Some(false), Some(id), Some(true));
-                at.connection.put(CHANNEL, Disposition { role, first, settled, ..Disposition::default() });
-                Outcome::Timeout
-            }
-        };
-        self.pump(ctx, task.region);
-        outcome
+    pub fn unqueue(&mut self, region: ServerId, class: usize, terminal: Token, txn: RequestId) {
+        if let Some(at) = self.map.get_mut(&region) {
+            at.outlets[class].turns.remove(terminal, txn);
+        }
     }
 
-    /// Regions that get nothing new. What waits there is placed elsewhere; what is half sent is aborted
-    /// and so never ran.
-    pub fn drained(&mut self, ctx: &mut Ctx, stopped: &[ServerId]) {
-        let unsent =
-            |task: &Task| stopped.contains(&task.region) && !matches!(task.stage, Stage::Sent { .. });
-        let mut unsent: Vec<RequestId> = self
-            .items
-            .iter()
-            .filter(|(_, item)| item.task.as_ref().is_some_and(unsent))
-            .map(|(txn, _)| *txn)
-            .collect();
-        unsent.sort_unstable();
-        for txn in unsent {
-            let outcome = self.give_up(ctx, txn);
-            self.over(ctx, txn, outcome);
+    // ---- What goes out -------------------------------------------------------------------------------
+
+    /// The end of a turn: everything that credit, windows and sockets take goes out.
+    pub fn flush(&mut self, ctx: &mut Ctx, config: &AmqpConfig, items: &mut Items) -> Vec<Happened> {
+        let mut happened = Vec::new();
+        for region in std::mem::take(&mut self.dirty) {
+            if let Some(at) = self.map.get_mut(&region) {
+                at.dirty = false;
+            }
+            self.pump(ctx, config, region, items, &mut happened);
+            let conns = self.map.get(&region).map_or(Vec::new(), |at| at.conns.clone());
+            conns.into_iter().for_each(|token| self.write(ctx, token));
         }
+        happened
     }
 
-    /// The connection is lost or of no use: its routed tasks are over.
-    fn lose(&mut self, ctx: &mut Ctx, region: ServerId) {
-        self.lose_tasks(ctx, region, None);
-        if let Some(mut at) = self.regions.remove(&region) {
-            self.tokens.remove(&at.token);
-            at.connection.close(None);
-            let out = at.connection.take_out(ctx.now);
-            ctx.net.send(at.token, &out);
-            ctx.net.close(at.token);
+    fn pump(
+        &mut self,
+        ctx: &mut Ctx,
+        config: &AmqpConfig,
+        region: ServerId,
+        items: &mut Items,
+        happened: &mut Vec<Happened>,
+    ) {
+        self.attach_relays(ctx, config, region, happened);
+        self.widen(ctx, config, region, happened);
+        let classes = self.classes.len();
+        let Some(at) = self.map.get_mut(&region).filter(|at| !at.outlets.is_empty()) else { return };
+        at.turn = at.turn.wrapping_add(1);
+        // Every lane of every class sends one chunk a round, until none can.
+        loop {
+            let mut moved = false;
+            for offset in 0..classes {
+                let class = (at.turn + offset) % classes;
+                let Outlet { turns, lanes } = &mut at.outlets[class];
+                for lane in lanes {
+                    let Some(link) = self.links.get_mut(&lane.token) else { continue };
+                    let (scratch, conn) = (&mut self.scratch, &mut link.conn);
+                    match feed(ctx, config, scratch, region, turns, lane, conn, items) {
+                        Fed::Still => {}
+                        Fed::Moved => moved = true,
+                        Fed::TooLarge(txn) => {
+                            happened.push(Happened::Over(txn, Outcome::Full));
+                            moved = true;
+                        }
+                    }
+                }
+            }
+            if !moved {
+                break;
+            }
+        }
+        let stuck = |o: &Outlet| !o.turns.is_empty() && o.lanes.iter().all(|lane| lane.current.is_some());
+        if at.outlets.iter().any(stuck) {
+            self.widen(ctx, config, region, happened);
         }
     }
 
-    /// What was written to its last byte may have run; the rest never did.
-    fn lose_tasks(&mut self, ctx: &mut Ctx, region: ServerId, address: Option<&str>) {
-        let Some(at) = self.regions.get_mut(&region) else { return };
-        let written = ctx.net.written(at.token);
-        let mut lost: Vec<(RequestId, Outcome)> = Vec::new();
-        for (txn, item) in &self.items {
-            let Some(task) = item.task.as_ref().filter(|t| t.region == region) else { continue };
-            if address.is_some_and(|address| address != item.address) {
+    /// Opens a lane for each class that has something waiting and no lane that could take it: the first,
+    /// or another where long messages hold all there are.
+    fn widen(&mut self, ctx: &mut Ctx, config: &AmqpConfig, region: ServerId, happened: &mut Vec<Happened>) {
+        for class in 0..self.map.get(&region).map_or(0, |at| at.outlets.len()) {
+            let Some(outlet) = self.map.get(&region).map(|at| &at.outlets[class]) else { return };
+            let held = outlet.lanes.iter().all(|lane| lane.current.is_some());
+            if outlet.turns.is_empty() || !held || outlet.lanes.len() >= config.region_lanes {
                 continue;
             }
-            lost.push(match task.stage {
-                Stage::Sent { id, end } => {
-                    at.deliveries.remove(&id);
-                    (*txn, if written >= end { Outcome::Reset } else { Outcome::ConnectFailed })
+            let first = outlet.lanes.is_empty();
+            if self.add_lane(ctx, config, region, class).is_err() && first {
+                if let Some(at) = self.map.get_mut(&region) {
+                    let queued = at.outlets[class].turns.drain().into_iter();
+                    happened.extend(queued.map(|txn| Happened::Over(txn, Outcome::ConnectFailed)));
                 }
-                Stage::Sending { id, .. } => {
-                    at.deliveries.remove(&id);
-                    (*txn, Outcome::ConnectFailed)
+            }
+        }
+    }
+
+    fn attach_relays(
+        &mut self,
+        ctx: &mut Ctx,
+        config: &AmqpConfig,
+        region: ServerId,
+        happened: &mut Vec<Happened>,
+    ) {
+        let waiting = self.map.get_mut(&region).map_or(Vec::new(), |at| std::mem::take(&mut at.relays));
+        for (relay, attach) in waiting {
+            let name = format!("{}/{relay}", self.container);
+            match self.place(ctx, config, region, &name, Role::Receiver, &attach) {
+                Ok(Some((token, link))) => {
+                    if let Some(at) = self.links.get_mut(&token) {
+                        at.uses.insert(link, Use::Relay(relay));
+                    }
+                }
+                Ok(None) => {
+                    if let Some(at) = self.map.get_mut(&region) {
+                        at.relays.push((relay, attach));
+                    }
                 }
-                Stage::Queued => (*txn, Outcome::ConnectFailed),
-            });
+                Err(()) => happened.push(Happened::NoRelay(relay)),
+            }
         }
-        lost.sort_unstable_by_key(|(txn, _)| *txn);
-        lost.into_iter().for_each(|(txn, outcome)| self.over(ctx, txn, outcome));
     }
 
-    pub(super) fn look_at_regions(&mut self, ctx: &mut Ctx) {
-        let all: Vec<ServerId> = self.regions.keys().copied().collect();
-        for region in all {
-            let Some(at) = self.regions.get_mut(&region) else { continue };
-            if at.connection.look(ctx.now).is_err() {
-                self.lose(ctx, region);
-            } else {
-                let out = at.connection.take_out(ctx.now);
-                ctx.net.send(at.token, &out);
+    /// A relay that waits for a session waits no more. False where its attach has gone out.
+    pub fn forget_relay(&mut self, region: ServerId, relay: u64) -> bool {
+        let Some(at) = self.map.get_mut(&region) else { return false };
+        let before = at.relays.len();
+        at.relays.retain(|(waiting, _)| *waiting != relay);
+        at.relays.len() < before
+    }
+}
+
+/// What feeding a lane came to.
+enum Fed {
+    /// It can do nothing now.
+    Still,
+    /// Something moved: it may go on.
+    Moved,
+    /// This delivery is larger than the region takes.
+    TooLarge(RequestId),
+}
+
+/// The delivery that is on a lane, or the next whose turn it is.
+fn next(turns: &mut Turns, lane: &Lane, conn: &mut Connection) -> Option<RequestId> {
+    if lane.current.is_some() {
+        return lane.current;
+    }
+    let txn = if conn.can_send(lane.link) { turns.pop() } else { None };
+    if turns.is_empty() && txn.is_none() {
+        conn.drained(lane.link);
+    }
+    txn
+}
+
+/// Sends one chunk on a lane.
+#[allow(clippy::too_many_arguments)]
+fn feed(
+    ctx: &mut Ctx,
+    config: &AmqpConfig,
+    scratch: &mut Vec<u8>,
+    region: ServerId,
+    turns: &mut Turns,
+    lane: &mut Lane,
+    conn: &mut Connection,
+    items: &mut Items,
+) -> Fed {
+    let room = AHEAD.saturating_sub(ctx.net.unwritten(lane.token));
+    if conn.pending() >= room {
+        return Fed::Still;
+    }
+    let room = room.min(conn.pending() + CHUNK);
+    let Some(txn) = next(turns, lane, conn) else { return Fed::Still };
+    let (token, link) = (lane.token, lane.link);
+    lane.current = None;
+    let Some(item) = items.get_mut(txn) else { return Fed::Moved };
+    let Some(task) = item.task.as_mut().filter(|task| task.region == region) else { return Fed::Moved };
+    let delivery = Outgoing { key: txn.0, tag: txn.0.into(), settled: false };
+    let (sent, id, at) = match task.stage {
+        Stage::Sent { .. } => return Fed::Moved,
+        Stage::Queued => {
+            if conn.most_message(link).is_some_and(|most| item.bytes.len() as u64 > most) {
+                return Fed::TooLarge(txn);
             }
+            let ttl = task.until.saturating_sub(ctx.now) / 1_000_000;
+            scratch.clear();
+            item.head.encode(&item.bytes, (ttl as u32).max(1), scratch);
+            let (prefix, rest) = (scratch.len(), item.head.rest());
+            scratch.extend_from_slice(&item.bytes[rest..]);
+            let id = conn.next_delivery(link.channel);
+            let sent = conn.send(link, delivery, scratch, item.whole, room);
+            if !sent.begun {
+                turns.push(item.terminal, txn);
+                return Fed::Still;
+            }
+            // A header has fewer octets than any frame: it has gone with the first.
+            (sent, id, rest + sent.taken.saturating_sub(prefix))
+        }
+        Stage::Sending { id, at, .. } => {
+            let octets = item.bytes.get(at - item.base..).unwrap_or_default();
+            let sent = conn.send(link, delivery, octets, item.whole, room);
+            (sent, id, at + sent.taken)
         }
+    };
+    if sent.done {
+        let end = ctx.net.position(token) + conn.pending() as u64;
+        task.stage = Stage::Sent { token, link, id, end };
+        return Fed::Moved;
+    }
+    task.stage = Stage::Sending { token, link, id, at };
+    lane.current = Some(txn);
+    items.let_go(txn, config.keep);
+    if sent.taken > 0 {
+        Fed::Moved
+    } else {
+        Fed::Still
     }
 }
--- a/src/front/amqp/terminals.rs
+++ b/src/front/amqp/terminals.rs
@@ -1,370 +1,232 @@
-//! The terminals' side: they connect, attach links that name a class, and send deliveries.
-
-use super::codec::*;
-use super::connection::{fault, Connection, Fault, CHANNEL_MAX};
-use super::link::{Delivery, Intake};
-use super::session::Session;
-use super::{AmqpFront, Ctx, Item, MOST_HELD};
-use crate::core::Front;
-use crate::front::ANSWER_MARGIN;
-use crate::interface::*;
-use crate::net::{Kind, Notice, Token, SLOW};
-use crate::wire::tag;
-use std::collections::{HashMap, HashSet};
-
-/// No delivery is waited for longer, whatever its ttl: it says how long the message lives.
-const MOST_WAIT: Nanos = 3_600_000_000_000;
+//! The terminals' connections and links: the table, credit, and what is written to them.
+
+use super::access::Who;
+use super::config::AmqpConfig;
+use super::items::Map;
+use crate::front::Ctx;
+use crate::interface::{Nanos, RequestId};
+use crate::net::Token;
+use sparbank_amqp::{Connection, LinkId};
+use std::net::IpAddr;
+use std::rc::Rc;
 
 /// A terminal's connection.
 pub struct Terminal {
-    connection: Connection,
-    sessions: HashMap<u16, Channel>,
+    pub conn: Connection,
+    pub links: Map<LinkId, Use>,
+    /// Transactions of its that are open.
+    pub live: usize,
+    pub who: Rc<Who>,
+    ip: Option<IpAddr>,
+    /// There may be something to write.
+    dirty: bool,
+    /// A wrong password is answered at this time, not before.
+    pub refuse_at: Option<Nanos>,
 }
 
-struct Channel {
-    session: Session,
-    links: HashMap<u32, Intake>,
-    /// Handles that this side has detached: what the terminal sent before it heard of it is nothing.
-    closing: HashSet<u32>,
+/// What a terminal's link is for.
+pub enum Use {
+    /// Its deliveries are transactions.
+    Intake(Intake),
+    /// A relay's deliveries go out on it: a standing connection, or a node for replies.
+    Relay(u64),
 }
 
-impl Terminal {
-    fn live(&self) -> Vec<RequestId> {
-        let links = self.sessions.values().flat_map(|s| s.links.values());
-        let mut live: Vec<RequestId> = links.flat_map(|l| l.live.values().copied()).collect();
-        live.sort_unstable();
-        live
-    }
+/// A link on which deliveries come in.
+pub struct Intake {
+    /// The class that its target names; none at the anonymous terminus.
+    pub class: Option<usize>,
+    /// The delivery whose last part has not come.
+    pub partial: Partial,
 }
 
-impl AmqpFront {
-    pub(super) fn terminal_notice(&mut self, ctx: &mut Ctx, notice: Notice) {
-        let token = notice.token;
-        match notice.kind {
-            Kind::Accepted if !ctx.net.make_room() => {
-                ctx.core.counters.over_budget += 1;
-                return ctx.net.close(token);
-            }
-            Kind::Accepted => {
-                let (frame, idle) = (self.config.max_frame, self.config.idle_ms);
-                let connection = Connection::new(ctx.now, false, &self.container, frame, idle);
-                self.terminals.insert(token, Terminal { connection, sessions: HashMap::new() });
-                return;
-            }
-            Kind::Evicted => {
-                ctx.core.counters.silent += 1;
-                return self.terminal_gone(ctx, token);
-            }
-            Kind::Broken(_) => return self.terminal_gone(ctx, token),
-            Kind::Readable | Kind::Drained => {}
-        }
-        // A terminal that does not read its answers is not asked for more.
-        if ctx.net.unwritten(token) < SLOW {
-            let Some(terminal) = self.terminals.get_mut(&token) else { return ctx.net.close(token) };
-            let mut fed = Ok(Vec::new());
-            if let Some(input) = ctx.net.input(token) {
-                fed = terminal.connection.feed(ctx.now, input);
-            }
-            if terminal.connection.is_open() {
-                ctx.net.prove(token);
-            }
-            let taken = fed.and_then(|frames| {
-                frames.into_iter().try_for_each(|(channel, body, payload)| {
-                    self.terminal_frame(ctx, token, channel, body, &payload)
-                })
-            });
-            if let Err(why) = taken {
-                ctx.core.counters.malformed += 1;
-                crate::log::line(format_args!(
-                    "amqp-terminal-fault condition={} {}",
-                    why.condition, why.words
-                ));
-                if let Some(terminal) = self.terminals.get_mut(&token) {
-                    terminal.connection.close(Some(&why));
-                }
-            }
-            self.flush_terminal(ctx, token);
-            if ctx.net.at_end(token) {
-                return self.terminal_gone(ctx, token);
+/// A delivery that comes in parts.
+#[derive(Default)]
+pub enum Partial {
+    #[default]
+    None,
+    /// Its head has not come whole.
+    Gathering(Vec<u8>),
+    /// It is a transaction.
+    Running(RequestId),
+    /// It was answered before its end.
+    Ignored,
+}
+
+/// The table.
+#[derive(Default)]
+pub struct Terminals {
+    map: Map<Token, Box<Terminal>>,
+    by_ip: Map<IpAddr, usize>,
+    /// Links that take credit, by subscriber.
+    links: Map<String, u32>,
+    dirty: Vec<Token>,
+    /// Not read on while messages take too much room.
+    paused: Vec<Token>,
+}
+
+impl Terminals {
+    /// Takes a connection in. False where its address holds as many as it may.
+    pub fn insert(&mut self, token: Token, conn: Connection, ip: Option<IpAddr>, most: usize) -> bool {
+        if let Some(ip) = ip {
+            let count = self.by_ip.entry(ip).or_default();
+            if *count >= most {
+                return false;
             }
+            *count += 1;
         }
-        ctx.net.rearm(token);
+        let (links, who) = (Map::default(), Rc::new(Who::default()));
+        let terminal = Terminal { conn, links, live: 0, who, ip, dirty: false, refuse_at: None };
+        self.map.insert(token, Box::new(terminal));
+        true
     }
 
-    fn terminal_frame(
-        &mut self,
-        ctx: &mut Ctx,
-        token: Token,
-        channel: u16,
-        body: Performative,
-        payload: &[u8],
-    ) -> Result<(), Fault> {
-        let illegal = || fault("amqp:illegal-state", "no such session");
-        let Some(terminal) = self.terminals.get_mut(&token) else { return Ok(()) };
-        if let Performative::Begin(begin) = &body {
-            if channel > CHANNEL_MAX || terminal.sessions.contains_key(&channel) {
-                return Err(fault("amqp:connection:framing-error", "this channel cannot be begun"));
+    pub fn remove(&mut self, token: Token) -> Option<Box<Terminal>> {
+        let terminal = self.map.remove(&token)?;
+        if let Some(count) = terminal.ip.and_then(|ip| self.by_ip.get_mut(&ip)) {
+            *count -= 1;
+            if *count == 0 {
+                terminal.ip.map(|ip| self.by_ip.remove(&ip));
             }
-            let mut session = Session::new();
-            session.began(begin);
-            terminal.connection.put(channel, session.begin(Some(channel), self.config.max_links - 1));
-            terminal
-                .sessions
-                .insert(channel, Channel { session, links: HashMap::new(), closing: HashSet::new() });
-            return Ok(());
         }
-        let Some(at) = terminal.sessions.get_mut(&channel) else { return Err(illegal()) };
-        match body {
-            Performative::Attach(attach) => return self.attach(token, channel, attach),
-            Performative::Flow(flow) => {
-                at.session.flowed(&flow);
-                if flow.echo == Some(true) {
-                    terminal.connection.put(channel, at.session.flow());
-                }
-            }
-            Performative::Transfer(transfer) => {
-                if at.session.received()? {
-                    terminal.connection.put(channel, at.session.flow());
-                }
-                let handle = transfer.handle.ok_or_else(|| fault("amqp:invalid-field", "no handle"))?;
-                let Some(link) = at.links.get_mut(&handle) else {
-                    if at.closing.contains(&handle) {
-                        return Ok(());
-                    }
-                    return Err(fault("amqp:session:unattached-handle", "no such link"));
-                };
-                match link.take(transfer, payload, self.config.max_message) {
-                    Ok(Some(delivery)) => self.delivered(ctx, token, channel, handle, delivery),
-                    Ok(None) => {}
-                    Err(why) => {
-                        ctx.core.counters.malformed += 1;
-                        at.closing.insert(handle);
-                        self.drop_link(ctx, token, channel, handle);
-                        self.put_detach(token, channel, handle, Some(why.value()));
-                    }
-                }
-                self.grant(token, channel, handle);
-            }
-            Performative::Disposition(d) if d.role != Some(true) && d.settled == Some(true) => {
-                let first = d.first.ok_or_else(|| fault("amqp:invalid-field", "no first"))?;
-                let last = d.last.unwrap_or(first);
-                let mine = |id: &u32| id.wrapping_sub(first) <= last.wrapping_sub(first);
-                let mut gone = Vec::new();
-                for link in at.links.values_mut() {
-                    link.live.retain(|id, txn| {
-                        if mine(id) {
-                            gone.push(*txn);
-                        }
-                        !mine(id)
-                    });
-                }
-                gone.sort_unstable();
-                gone.into_iter().for_each(|txn| self.left(ctx, txn));
-            }
-            Performative::Detach(detach) => {
-                let handle = detach.handle.ok_or_else(|| fault("amqp:invalid-field", "no handle"))?;
-                if !at.closing.remove(&handle) {
-                    self.drop_link(ctx, token, channel, handle);
-                    self.put_detach(token, channel, handle, None);
-                }
-            }
-            Performative::End(_) => {
-                let links: Vec<u32> = at.links.keys().copied().collect();
-                links.into_iter().for_each(|handle| self.drop_link(ctx, token, channel, handle));
-                if let Some(terminal) = self.terminals.get_mut(&token) {
-                    terminal.sessions.remove(&channel);
-                    terminal.connection.put(channel, End::default());
-                }
-            }
-            _ => {}
-        }
-        Ok(())
+        let intakes = terminal.links.values().filter(|l| matches!(l, Use::Intake(_))).count() as u32;
+        self.count_links(terminal.who.subscriber(), -i64::from(intakes));
+        Some(terminal)
     }
 
-    fn attach(&mut self, token: Token, channel: u16, attach: Attach) -> Result<(), Fault> {
-        let Some(terminal) = self.terminals.get_mut(&token) else { return Ok(()) };
-        let Some(at) = terminal.sessions.get_mut(&channel) else { return Ok(()) };
-        let handle = attach.handle.ok_or_else(|| fault("amqp:invalid-field", "no handle"))?;
-        if handle >= self.config.max_links || at.links.contains_key(&handle) || at.closing.contains(&handle) {
-            return Err(fault("amqp:session:handle-in-use", "this handle cannot be attached"));
-        }
-        let sends = attach.role != Some(true);
-        let address =
-            attach.target.as_ref().and_then(Value::as_composite).and_then(|(code, fields)| {
-                match (code, fields.first()) {
-                    (0x29, Some(Value::Text(address))) => Some(address.clone()),
-                    _ => None,
-                }
-            });
-        let class = |a: &String| self.classes.iter().position(|c| c == a.trim_start_matches('/'));
-        let class = address.as_ref().and_then(class);
-        let refusal = match class {
-            Some(_) if sends => None,
-            _ if !sends => Some(fault("amqp:not-implemented", "this node sends no deliveries to terminals")),
-            _ => Some(fault("amqp:not-found", "the target address names no class")),
-        };
-        let reply = Attach {
-            name: attach.name,
-            handle: Some(handle),
-            role: Some(sends),
-            source: attach.source,
-            target: if refusal.is_none() { attach.target } else { None },
-            initial_delivery_count: if sends { None } else { Some(0) },
-            max_message_size: Some(self.config.max_message as u64),
-            ..Attach::default()
-        };
-        terminal.connection.put(channel, reply);
-        match (refusal, class, address) {
-            (None, Some(class), Some(address)) => {
-                let count = attach.initial_delivery_count.unwrap_or(0);
-                at.links.insert(handle, Intake::new(class, address, count));
-                self.grant(token, channel, handle);
-            }
-            (why, ..) => {
-                at.closing.insert(handle);
-                self.put_detach(token, channel, handle, why.map(|why| why.value()));
-            }
-        }
-        Ok(())
+    pub fn get(&mut self, token: Token) -> Option<&mut Terminal> {
+        self.map.get_mut(&token).map(|terminal| &mut **terminal)
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.map.is_empty()
+    }
+
+    pub fn len(&self) -> usize {
+        self.map.len()
     }
 
-    /// A delivery has come whole: it is a transaction from here on, or malformed.
-    fn delivered(&mut self, ctx: &mut Ctx, token: Token, channel: u16, handle: u32, delivery: Delivery) {
-        let Some(link) =
-            self.terminals.get_mut(&token).and_then(|t| t.sessions.get_mut(&channel)?.links.get_mut(&handle))
-        else {
+    pub fn tokens(&self) -> Vec<Token> {
+        let mut tokens: Vec<Token> = self.map.keys().copied().collect();
+        tokens.sort_unstable();
+        tokens
+    }
+
+    fn count_links(&mut self, subscriber: &str, change: i64) {
+        if change == 0 {
             return;
-        };
-        let (class, size, address) = (link.class, delivery.bytes.len(), link.address.clone());
-        let (id, settled) = (delivery.id, delivery.settled);
-        let message = match Message::decode(&delivery.bytes) {
-            Ok(message) => message,
-            Err(error) => {
-                ctx.core.counters.malformed += 1;
-                let why = Fault::from(error).value();
-                return self.dispose(token, channel, id, settled, Value::composite(0x25, vec![why]));
-            }
-        };
-        if self.held + size > MOST_HELD || self.leaving {
-            ctx.core.counters.over_budget += 1;
-            let notes = Value::Map(vec![(Value::Symbol("retry-after".into()), Value::Uint(500))]);
-            let refused = Value::composite(0x27, vec![Value::Bool(false), Value::Null, notes]);
-            return self.dispose(token, channel, id, settled, refused);
         }
-        let limit = ctx.classes.get(class).map_or(0, |c| c.hard_limit);
-        let grace = message.ttl.map_or(limit, |ms| (Nanos::from(ms) * 1_000_000).min(MOST_WAIT));
-        let key = message.property("key");
-        let key = key.map(|key| u64::from_str_radix(&key, 16).unwrap_or_else(|_| tag(&key)));
-        let again = message.properties.iter().any(|(k, v)| k == "again" && *v == Value::Bool(true));
-        let arrival = Arrival {
-            id: RequestId(0),
-            class,
-            grace: grace.saturating_sub(ANSWER_MARGIN),
-            cost: None,
-            key,
-            group: message.property("group").map(|group| tag(&group)),
-            came_back: again,
-            rerouted: false,
-        };
-        let txn = ctx.core.arrive(ctx.now, Front::Amqp, arrival);
-        link.live.insert(id, txn);
-        self.held += size;
-        let (terminal, delivery, task) = (token, id, None);
-        let item = Item { terminal, channel, handle, delivery, settled, address, message, size, task };
-        self.items.insert(txn, item);
+        let count = self.links.entry(subscriber.to_string()).or_default();
+        *count = (i64::from(*count) + change).max(0) as u32;
+        if *count == 0 {
+            self.links.remove(subscriber);
+        }
     }
 
-    /// The final answer of a transaction.
-    pub(super) fn answer(&mut self, ctx: &mut Ctx, txn: RequestId, state: Value) {
-        let Some(item) = self.forget(txn) else { return };
-        let links = self.terminals.get_mut(&item.terminal).and_then(|t| t.sessions.get_mut(&item.channel));
-        if let Some(link) = links.and_then(|s| s.links.get_mut(&item.handle)) {
-            link.live.remove(&item.delivery);
-        }
-        self.dispose(item.terminal, item.channel, item.delivery, item.settled, state);
-        self.grant(item.terminal, item.channel, item.handle);
-        self.flush_terminal(ctx, item.terminal);
+    /// A link for deliveries is attached.
+    pub fn add_intake(&mut self, token: Token, link: LinkId, class: Option<usize>) {
+        let Some(terminal) = self.map.get_mut(&token) else { return };
+        terminal.links.insert(link, Use::Intake(Intake { class, partial: Partial::None }));
+        let who = terminal.who.clone();
+        self.count_links(who.subscriber(), 1);
     }
 
-    fn dispose(&mut self, token: Token, channel: u16, id: u32, settled: bool, state: Value) {
-        if let Some(terminal) = self.terminals.get_mut(&token).filter(|_| !settled) {
-            let (role, first, settled, state) = (Some(true), Some(id), Some(true), Some(state));
-            let body = Disposition { role, first, settled, state, ..Disposition::default() };
-            terminal.connection.put(channel, body);
+    /// A link is gone: what it was for.
+    pub fn remove_link(&mut self, token: Token, link: LinkId) -> Option<Use> {
+        let terminal = self.map.get_mut(&token)?;
+        let gone = terminal.links.remove(&link)?;
+        let who = terminal.who.clone();
+        if matches!(gone, Use::Intake(_)) {
+            self.count_links(who.subscriber(), -1);
         }
+        Some(gone)
     }
 
-    /// Tells the terminal of fresh credit.
-    fn grant(&mut self, token: Token, channel: u16, handle: u32) {
-        let Some(terminal) = self.terminals.get_mut(&token).filter(|_| !self.leaving) else { return };
-        let Some(at) = terminal.sessions.get_mut(&channel) else { return };
-        if let Some((count, credit)) = at.links.get_mut(&handle).and_then(Intake::grant) {
-            let (handle, delivery_count, link_credit) = (Some(handle), Some(count), Some(credit));
-            terminal
-                .connection
-                .put(channel, Flow { handle, delivery_count, link_credit, ..at.session.flow() });
+    /// There may be something to write to this terminal.
+    pub fn touch(&mut self, token: Token) {
+        if let Some(terminal) = self.map.get_mut(&token).filter(|t| !t.dirty) {
+            terminal.dirty = true;
+            self.dirty.push(token);
         }
     }
 
-    pub(super) fn stop_credit(&mut self, ctx: &mut Ctx) {
-        let tokens: Vec<Token> = self.terminals.keys().copied().collect();
-        for token in tokens {
-            let Some(terminal) = self.terminals.get_mut(&token) else { continue };
-            for (channel, at) in &mut terminal.sessions {
-                for (handle, link) in &mut at.links {
-                    let (count, credit) = link.stop();
-                    let (handle, delivery_count, link_credit) = (Some(*handle), Some(count), Some(credit));
-                    let flow = Flow { handle, delivery_count, link_credit, ..at.session.flow() };
-                    terminal.connection.put(*channel, flow);
-                }
+    pub fn take_dirty(&mut self) -> Vec<Token> {
+        let dirty = std::mem::take(&mut self.dirty);
+        for token in &dirty {
+            if let Some(terminal) = self.map.get_mut(token) {
+                terminal.dirty = false;
             }
-            self.flush_terminal(ctx, token);
         }
+        dirty
     }
 
-    fn put_detach(&mut self, token: Token, channel: u16, handle: u32, error: Option<Value>) {
-        if let Some(terminal) = self.terminals.get_mut(&token) {
-            terminal.connection.put(channel, Detach { handle: Some(handle), closed: Some(true), error });
+    /// This terminal is not read on until there is room again.
+    pub fn pause(&mut self, token: Token) {
+        if !self.paused.contains(&token) {
+            self.paused.push(token);
         }
     }
 
-    /// A link is gone: nobody waits for its deliveries any more.
-    fn drop_link(&mut self, ctx: &mut Ctx, token: Token, channel: u16, handle: u32) {
-        let Some(terminal) = self.terminals.get_mut(&token) else { return };
-        let Some(link) = terminal.sessions.get_mut(&channel).and_then(|at| at.links.remove(&handle)) else {
-            return;
-        };
-        let mut live: Vec<RequestId> = link.live.into_values().collect();
-        live.sort_unstable();
-        live.into_iter().for_each(|txn| self.left(ctx, txn));
+    pub fn take_paused(&mut self) -> Vec<Token> {
+        std::mem::take(&mut self.paused)
     }
 
-    pub(super) fn flush_terminal(&mut self, ctx: &mut Ctx, token: Token) {
-        let Some(terminal) = self.terminals.get_mut(&token) else { return };
-        let out = terminal.connection.take_out(ctx.now);
-        ctx.net.send(token, &out);
-        if terminal.connection.is_closed() {
-            self.terminal_gone(ctx, token);
+    /// Gives a link fresh credit, once less than half of what it should have is left. What it should have
+    /// is the subscriber's credit over its links, and shrinks with the octets that are held: half full it
+    /// starts to, and at nine tenths there is none.
+    pub fn grant(&mut self, token: Token, link: LinkId, config: &AmqpConfig, held: usize) {
+        let Some(terminal) = self.map.get_mut(&token) else { return };
+        let links = self.links.get(terminal.who.subscriber()).copied().unwrap_or(1).max(1);
+        let fair = (config.subscriber_credit / links).clamp(1, config.credit);
+        let credit = shrunk(fair, held, config.max_held);
+        let now = terminal.conn.credit(link);
+        if credit > now && now <= credit / 2 {
+            terminal.conn.grant(link, credit);
+            self.touch(token);
         }
     }
 
-    fn terminal_gone(&mut self, ctx: &mut Ctx, token: Token) {
-        ctx.net.close(token);
-        if let Some(terminal) = self.terminals.remove(&token) {
-            terminal.live().into_iter().for_each(|txn| self.left(ctx, txn));
+    /// No link gets any more credit, and what it had is taken back.
+    pub fn stop_credit(&mut self, token: Token) {
+        let Some(terminal) = self.map.get_mut(&token) else { return };
+        for (link, kind) in &terminal.links {
+            if matches!(kind, Use::Intake(_)) {
+                terminal.conn.grant(*link, 0);
+            }
         }
+        self.touch(token);
     }
 
-    pub(super) fn look_at_terminals(&mut self, ctx: &mut Ctx) {
-        let tokens: Vec<Token> = self.terminals.keys().copied().collect();
-        for token in tokens {
-            let Some(terminal) = self.terminals.get_mut(&token) else { continue };
-            if let Err(why) = terminal.connection.look(ctx.now) {
-                terminal.connection.close(Some(&why));
-            } else if self.leaving && terminal.live().is_empty() {
-                terminal.connection.close(Some(&fault("amqp:connection:forced", "the node leaves")));
-            }
-            self.flush_terminal(ctx, token);
+    /// Writes what there is. False where the connection is over with it.
+    pub fn flush(&mut self, ctx: &mut Ctx, token: Token) -> bool {
+        let Some(terminal) = self.map.get_mut(&token) else { return true };
+        let out = terminal.conn.take_out(ctx.now);
+        if !out.is_empty() {
+            ctx.net.send(token, &out);
         }
+        !terminal.conn.is_closed()
+    }
+}
+
+/// A credit at this fill.
+fn shrunk(credit: u32, held: usize, most: usize) -> u32 {
+    let (half, full) = (most / 2, most / 10 * 9);
+    if held <= half {
+        return credit;
+    }
+    let left = full.saturating_sub(held) as u64;
+    let room = full.saturating_sub(half).max(1) as u64;
+    (u64::from(credit) * left / room) as u32
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn credit_shrinks_with_what_is_held() {
+        let credits: Vec<u32> =
+            [0, 500, 600, 700, 899, 900, 5000].iter().map(|held| shrunk(64, *held, 1000)).collect();
+        assert_eq!(credits, [64, 64, 48, 32, 0, 0, 0]);
     }
 }
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -1,13 +1,19 @@
-//! The two fronts. Each turns its wire into transactions and outcomes, and carries out commands.
+//! The fronts. Each turns its wire into transactions and outcomes, and carries out commands.
+//!
+//! The loop and the core know a front by its [`FrontId`] alone. A further one is a folder here, an
+//! implementation of [`Front`], and a line in [`OPTIONAL`].
 
 pub mod amqp;
 pub mod text;
 
 use crate::config::Facts;
-use crate::core::Core;
-use crate::interface::{Class, Nanos, RequestId};
-use crate::net::{Net, Owner, Token, Wheel};
+use crate::core::{Core, FrontId};
+use crate::interface::{Class, Nanos, Outcome, RequestId, ServerId};
+use crate::net::{Net, Notice, Owner, Token, Wheel};
 use crate::service_table::ServiceTable;
+use std::any::Any;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
 /// What a front works with.
 pub struct Ctx<'a> {
@@ -28,9 +34,9 @@
     /// The time-out of a transaction's routed task, by its number.
     Task(RequestId, u32),
     /// A connection should be up by now.
-    Dial(Owner, Token),
-    /// A text terminal should stand again by now, or have ended its other half.
-    Idle(Token),
+    Dial(FrontId, Token),
+    /// A front's own timer for one of its sockets.
+    Timer(FrontId, Token),
     /// Time to look after things that are watched coarsely.
     Look,
     /// The next step of leaving.
@@ -40,3 +46,136 @@
 /// Answers arrive before the deadline: the wheel, the loop and the way back to the terminal take this
 /// much of it at most.
 pub const ANSWER_MARGIN: Nanos = 12_000_000;
+
+/// A front. What it must do has no default; what only some need has one.
+pub trait Front {
+    /// Something happened at one of its sockets.
+    fn notice(&mut self, ctx: &mut Ctx, notice: Notice);
+    /// Start the one routed task of a transaction, for at most this long.
+    fn start(&mut self, ctx: &mut Ctx, txn: RequestId, region: ServerId, wait: Nanos);
+    /// Take a routed task back and say what that makes of it: unsent, it never ran.
+    fn give_up(&mut self, ctx: &mut Ctx, txn: RequestId) -> Outcome;
+    /// The final answer: refused, come again after this.
+    fn refuse(&mut self, ctx: &mut Ctx, txn: RequestId, cool_down: Nanos);
+    /// The final answer: failed.
+    fn fail(&mut self, ctx: &mut Ctx, txn: RequestId);
+    /// Ask the terminal of a standing connection to come again. The core has already let it go.
+    fn send_away(&mut self, ctx: &mut Ctx, txn: RequestId);
+    /// These regions get nothing new: what has not been sent to them is called off.
+    fn drained(&mut self, ctx: &mut Ctx, stopped: &[ServerId]);
+    /// Whether no terminal is held.
+    fn is_idle(&self) -> bool;
+
+    /// A connection should be up by now.
+    fn dial_due(&mut self, _ctx: &mut Ctx, _token: Token) {}
+    /// One of its own timers is due.
+    fn timer_due(&mut self, _ctx: &mut Ctx, _token: Token) {}
+    /// Once in a while.
+    fn look(&mut self, _ctx: &mut Ctx) {}
+    /// The end of a turn: what was gathered for the same socket is written in one go.
+    fn flush(&mut self, _ctx: &mut Ctx) {}
+    /// The node is leaving; called at each step.
+    fn leave(&mut self, _ctx: &mut Ctx) {}
+    /// Takes a newer file over, which [`Optional::read`] gave. Names what only a restart could change.
+    fn take_over(&mut self, _new: Box<dyn Any>) -> Vec<&'static str> {
+        Vec::new()
+    }
+    /// A line of its own counters.
+    fn counters(&self) -> Option<String> {
+        None
+    }
+}
+
+/// An open front, and where it listens.
+pub type Opened = (Box<dyn Front>, String);
+
+/// How an optional front is opened: with its id, what was read, the sockets, the node's name and its facts.
+pub type Open = fn(FrontId, Box<dyn Any>, &mut Net, &str, &Facts) -> Result<Opened, String>;
+
+/// What was read of an optional front's file, by the front's place in [`OPTIONAL`].
+pub type ReadFiles = Vec<(usize, Box<dyn Any>)>;
+
+/// A front that is off unless its file is named on the command line.
+pub struct Optional {
+    /// Its name in log lines and, behind `--`, its option.
+    pub name: &'static str,
+    /// Reads and checks its file.
+    pub read: fn(&Path) -> Result<Box<dyn Any>, String>,
+    /// Opens it with what was read: listens, and says where.
+    pub open: Open,
+}
+
+/// All fronts beside the platform's own.
+pub const OPTIONAL: &[Optional] = &[amqp::OPTIONAL];
+
+/// Files of the optional fronts that are on: a place in [`OPTIONAL`] and a path.
+pub type Files = Vec<(usize, PathBuf)>;
+
+/// The platform's own front.
+pub const TEXT: FrontId = FrontId { index: 0, name: "text" };
+
+/// The fronts that are on.
+pub struct Fronts {
+    /// At the index of their ids.
+    list: Vec<Option<Box<dyn Front>>>,
+    names: Vec<&'static str>,
+}
+
+impl Fronts {
+    /// The platform's front alone.
+    pub fn new() -> Fronts {
+        Fronts { list: vec![Some(Box::new(text::TextFront::new()))], names: vec![TEXT.name] }
+    }
+
+    /// Listens for the platform's front.
+    pub fn listen(&self, net: &mut Net, at: SocketAddr) -> std::io::Result<SocketAddr> {
+        net.listen(at, Owner::Front(TEXT))
+    }
+
+    /// Opens an optional front; gives its log line.
+    pub fn open(
+        &mut self,
+        which: usize,
+        file: Box<dyn Any>,
+        net: &mut Net,
+        name: &str,
+        facts: &Facts,
+    ) -> Result<String, String> {
+        let optional = &OPTIONAL[which];
+        let id = FrontId { index: self.list.len() as u8, name: optional.name };
+        let (front, line) = (optional.open)(id, file, net, name, facts)?;
+        self.list.push(Some(front));
+        self.names.push(optional.name);
+        Ok(format!("{} {line}", optional.name))
+    }
+
+    /// A front by its id.
+    pub fn get(&mut self, id: FrontId) -> Option<&mut dyn Front> {
+        self.list.get_mut(id.index as usize)?.as_deref_mut().map(|front| front as &mut dyn Front)
+    }
+
+    /// All of them.
+    pub fn all(&mut self) -> impl Iterator<Item = &mut Box<dyn Front>> {
+        self.list.iter_mut().flatten()
+    }
+
+    /// An optional front takes a newer file over.
+    pub fn take_over(&mut self, which: usize, file: Box<dyn Any>) -> Vec<&'static str> {
+        let at = self.names.iter().position(|name| *name == OPTIONAL[which].name);
+        let front = at.and_then(|at| self.list[at].as_mut());
+        front.map_or(Vec::new(), |front| front.take_over(file))
+    }
+
+    /// Whether none holds a terminal.
+    pub fn are_idle(&self) -> bool {
+        self.list.iter().flatten().all(|front| front.is_idle())
+    }
+
+    /// The fronts' own counters, with their names.
+    pub fn counters(&self) -> Vec<String> {
+        let line = |(front, name): (&Option<Box<dyn Front>>, &&str)| {
+            Some(format!("{name}-counters {}", front.as_ref()?.counters()?))
+        };
+        self.list.iter().zip(&self.names).filter_map(line).collect()
+    }
+}
--- a/src/front/text.rs
+++ b/src/front/text.rs
@@ -3,8 +3,7 @@
 //! A terminal's first line opens a transaction. Once its region has said `UP`, lines pass both ways.
 //! Only whole lines go to a terminal, so that `MOVE` can always follow.
 
-use super::{Ctx, Due, ANSWER_MARGIN};
-use crate::core::Front;
+use super::{Ctx, Due, Front, ANSWER_MARGIN, TEXT};
 use crate::interface::*;
 use crate::net::{Kind, Notice, Owner, Token, SLOW};
 use first_line::{load, FirstLine, Open};
@@ -81,44 +80,6 @@
         }
     }
 
-    /// Whether no terminal is held.
-    pub fn is_idle(&self) -> bool {
-        self.sessions.is_empty()
-    }
-
-    /// Something happened at one of this front's sockets.
-    pub fn notice(&mut self, ctx: &mut Ctx, notice: Notice) {
-        let token = notice.token;
-        if notice.kind == Kind::Accepted {
-            self.sides.insert(token, Side::Fresh(0));
-            return;
-        }
-        if notice.kind == Kind::Evicted {
-            ctx.core.counters.silent += 1;
-            self.sides.remove(&token);
-            return;
-        }
-        let broken = match notice.kind {
-            Kind::Broken(remains) => Some(remains.all_written),
-            _ => None,
-        };
-        match self.sides.get(&token) {
-            None => ctx.net.close(token),
-            // Whoever broke its connection off waits for no answer, whatever it had sent.
-            Some(Side::Fresh(_)) if broken.is_some() => {
-                self.sides.remove(&token);
-                ctx.net.close(token);
-            }
-            Some(Side::Fresh(_)) => self.fresh(ctx, token),
-            Some(Side::Terminal) => self.terminal(ctx, token, broken.is_some()),
-            Some(Side::Task(terminal)) => {
-                let terminal = *terminal;
-                self.task(ctx, terminal, token, broken);
-            }
-        }
-        ctx.net.rearm(token);
-    }
-
     // ---- The terminal's side -------------------------------------------------------------------
 
     fn fresh(&mut self, ctx: &mut Ctx, token: Token) {
@@ -174,7 +135,7 @@
         match at {
             Some(name) => self.restore(ctx, token, &name),
             None => {
-                let txn = ctx.core.arrive(ctx.now, Front::Text, arrival);
+                let txn = ctx.core.arrive(ctx.now, TEXT, arrival);
                 self.terminals.insert(txn, token);
                 if let Some(session) = self.sessions.get_mut(&token) {
                     session.txn = Some(txn);
@@ -188,7 +149,7 @@
     fn restore(&mut self, ctx: &mut Ctx, token: Token, name: &str) {
         let Some(region) = ctx.table.named(name) else { return self.malformed(ctx, token) };
         let wait = self.sessions.get(&token).map_or(0, |s| s.open.grace);
-        ctx.wheel.at(ctx.now + wait.saturating_sub(ANSWER_MARGIN), Due::Idle(token));
+        ctx.wheel.at(ctx.now + wait.saturating_sub(ANSWER_MARGIN), Due::Timer(TEXT, token));
         if !self.dial(ctx, token, region, wait) {
             self.answer(ctx, token, b"ERR\r\n");
         }
@@ -198,9 +159,9 @@
     fn dial(&mut self, ctx: &mut Ctx, terminal: Token, region: ServerId, wait: Nanos) -> bool {
         let Some(session) = self.sessions.get_mut(&terminal) else { return true };
         let Some(addr) = ctx.table.region(region).map(|r| r.addr) else { return false };
-        let Ok(task) = ctx.net.connect(addr, Owner::Text) else { return false };
+        let Ok(task) = ctx.net.connect(addr, Owner::Front(TEXT)) else { return false };
         ctx.net.send(task, session.open.for_region(wait).as_bytes());
-        ctx.wheel.at(ctx.now + ctx.facts.limits.dial_timeout_ns, Due::Dial(Owner::Text, task));
+        ctx.wheel.at(ctx.now + ctx.facts.limits.dial_timeout_ns, Due::Dial(TEXT, task));
         session.task = Some(task);
         session.region = Some(region);
         self.sides.insert(task, Side::Task(terminal));
@@ -222,7 +183,7 @@
             }
             if ctx.net.at_end(token) && ctx.net.input(token).is_none_or(|left| left.is_empty()) {
                 ctx.net.finish(task);
-                ctx.wheel.at(ctx.now + HALF_OPEN, Due::Idle(token));
+                ctx.wheel.at(ctx.now + HALF_OPEN, Due::Timer(TEXT, token));
             }
         } else if ctx.net.input(token).is_some_and(|input| !input.is_empty()) {
             // It waits for UP and may say nothing before it: nobody could say what its lines belong to.
@@ -333,7 +294,7 @@
             match (session.txn, session.region) {
                 (Some(txn), _) => ctx.core.up(ctx.now, txn),
                 (None, Some(region)) => {
-                    let txn = ctx.core.resume(ctx.now, Front::Text, arrival(&session.open), region);
+                    let txn = ctx.core.resume(ctx.now, TEXT, arrival(&session.open), region);
                     session.txn = Some(txn);
                     self.terminals.insert(txn, terminal);
                 }
@@ -388,9 +349,64 @@
         }
     }
 
-    // ---- What the core wants -------------------------------------------------------------------
+    fn note_delays(&mut self, ctx: &mut Ctx) {
+        let aim = ctx.classes.iter().filter_map(|c| c.message_aim).min().unwrap_or(Nanos::MAX);
+        let mut notes: Vec<(ServerId, Nanos)> = Vec::new();
+        for (server, delay) in &mut self.delays {
+            let Some(latest) = delay.latest.take() else { continue };
+            let busy = latest > aim / 3;
+            if busy || delay.busy {
+                notes.push((*server, latest));
+            }
+            delay.busy = busy;
+        }
+        notes.sort_unstable();
+        for (server, delay) in notes {
+            ctx.core.tell(Event::DelayNote { server, delay });
+        }
+    }
+}
 
-    pub fn start(&mut self, ctx: &mut Ctx, txn: RequestId, region: ServerId, wait: Nanos) {
+impl Front for TextFront {
+    /// Whether no terminal is held.
+    fn is_idle(&self) -> bool {
+        self.sessions.is_empty()
+    }
+
+    /// Something happened at one of this front's sockets.
+    fn notice(&mut self, ctx: &mut Ctx, notice: Notice) {
+        let token = notice.token;
+        if notice.kind == Kind::Accepted {
+            self.sides.insert(token, Side::Fresh(0));
+            return;
+        }
+        if notice.kind == Kind::Evicted {
+            ctx.core.counters.silent += 1;
+            self.sides.remove(&token);
+            return;
+        }
+        let broken = match notice.kind {
+            Kind::Broken(remains) => Some(remains.all_written),
+            _ => None,
+        };
+        match self.sides.get(&token) {
+            None => ctx.net.close(token),
+            // Whoever broke its connection off waits for no answer, whatever it had sent.
+            Some(Side::Fresh(_)) if broken.is_some() => {
+                self.sides.remove(&token);
+                ctx.net.close(token);
+            }
+            Some(Side::Fresh(_)) => self.fresh(ctx, token),
+            Some(Side::Terminal) => self.terminal(ctx, token, broken.is_some()),
+            Some(Side::Task(terminal)) => {
+                let terminal = *terminal;
+                self.task(ctx, terminal, token, broken);
+            }
+        }
+        ctx.net.rearm(token);
+    }
+
+    fn start(&mut self, ctx: &mut Ctx, txn: RequestId, region: ServerId, wait: Nanos) {
         let Some(terminal) = self.terminals.get(&txn).copied() else { return };
         if !self.dial(ctx, terminal, region, wait) {
             ctx.core.task_ended(ctx.now, txn, Outcome::ConnectFailed);
@@ -398,7 +414,7 @@
     }
 
     /// Takes a routed task back and says what that makes of it: unsent, it never ran.
-    pub fn give_up(&mut self, ctx: &mut Ctx, txn: RequestId) -> Outcome {
+    fn give_up(&mut self, ctx: &mut Ctx, txn: RequestId) -> Outcome {
         let Some(terminal) = self.terminals.get(&txn).copied() else { return Outcome::Cancelled };
         let task = self.sessions.get(&terminal).and_then(|s| s.task);
         let unsent = task.is_some_and(|task| ctx.net.is_connecting(task) || ctx.net.unwritten(task) > 0);
@@ -410,7 +426,7 @@
         }
     }
 
-    pub fn refuse(&mut self, ctx: &mut Ctx, txn: RequestId, cool_down: Nanos) {
+    fn refuse(&mut self, ctx: &mut Ctx, txn: RequestId, cool_down: Nanos) {
         if let Some(terminal) = self.terminals.get(&txn).copied() {
             let busy = match cool_down / 1_000_000 {
                 0 => "BUSY\r\n".to_string(),
@@ -420,23 +436,21 @@
         }
     }
 
-    pub fn fail(&mut self, ctx: &mut Ctx, txn: RequestId) {
+    fn fail(&mut self, ctx: &mut Ctx, txn: RequestId) {
         if let Some(terminal) = self.terminals.get(&txn).copied() {
             self.answer(ctx, terminal, b"ERR\r\n");
         }
     }
 
     /// Asks a terminal to come again. The core has already let it go.
-    pub fn send_away(&mut self, ctx: &mut Ctx, txn: RequestId) {
+    fn send_away(&mut self, ctx: &mut Ctx, txn: RequestId) {
         if let Some(terminal) = self.terminals.get(&txn).copied() {
             self.answer(ctx, terminal, b"MOVE\r\n");
         }
     }
 
-    // ---- Time ----------------------------------------------------------------------------------
-
     /// A connection should be up by now.
-    pub fn dial_due(&mut self, ctx: &mut Ctx, task: Token) {
+    fn dial_due(&mut self, ctx: &mut Ctx, task: Token) {
         if let (true, Some(Side::Task(terminal))) = (ctx.net.is_connecting(task), self.sides.get(&task)) {
             let terminal = *terminal;
             self.over(ctx, terminal, Outcome::ConnectFailed, true);
@@ -444,7 +458,7 @@
     }
 
     /// A terminal's time is up: to stand again, or to end its other half.
-    pub fn idle_due(&mut self, ctx: &mut Ctx, token: Token) {
+    fn timer_due(&mut self, ctx: &mut Ctx, token: Token) {
         let Some(session) = self.sessions.get(&token) else { return };
         if session.txn.is_none() {
             self.answer(ctx, token, b"ERR\r\n");
@@ -454,7 +468,7 @@
     }
 
     /// Regions that get nothing new: connections to them on which no byte has gone out are called off.
-    pub fn drained(&mut self, ctx: &mut Ctx, stopped: &[ServerId]) {
+    fn drained(&mut self, ctx: &mut Ctx, stopped: &[ServerId]) {
         let unsent = |(terminal, s): (&Token, &Session)| {
             let task = s.task.filter(|task| !s.up && !ctx.net.has_written(*task))?;
             s.region.filter(|region| stopped.contains(region)).map(|_| (*terminal, task))
@@ -466,7 +480,7 @@
     }
 
     /// Once in a while: silent regions and notes of delay.
-    pub fn look(&mut self, ctx: &mut Ctx) {
+    fn look(&mut self, ctx: &mut Ctx) {
         let now = ctx.now;
         let silent =
             |s: &Session| s.up && s.asked.is_some_and(|asked| now.saturating_sub(asked) > SILENT_AFTER);
@@ -481,23 +495,6 @@
             self.note_delays(ctx);
         }
     }
-
-    fn note_delays(&mut self, ctx: &mut Ctx) {
-        let aim = ctx.classes.iter().filter_map(|c| c.message_aim).min().unwrap_or(Nanos::MAX);
-        let mut notes: Vec<(ServerId, Nanos)> = Vec::new();
-        for (server, delay) in &mut self.delays {
-            let Some(latest) = delay.latest.take() else { continue };
-            let busy = latest > aim / 3;
-            if busy || delay.busy {
-                notes.push((*server, latest));
-            }
-            delay.busy = busy;
-        }
-        notes.sort_unstable();
-        for (server, delay) in notes {
-            ctx.core.tell(Event::DelayNote { server, delay });
-        }
-    }
 }
 
 /// Passes a region's line on and notes what it says.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,9 +75,6 @@
 pub mod wire;
 
 pub use balance::Balancer;
-/// For the stand-ins of the tests.
-#[doc(hidden)]
-pub use front::amqp::codec as amqp_codec;
 
 /// Arithmetic on random numbers, written out so that no library version changes a decision.
 mod random {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,3 +5,9 @@
 
 pub use sockets::{Kind, Net, Notice, Owner, Token, SLOW};
 pub use wheel::Wheel;
+
+/// A token for tests of what is kept by tokens.
+#[cfg(test)]
+pub fn tests_token(number: u64) -> Token {
+    Token::for_tests(number)
+}
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -1,6 +1,7 @@
 //! The sockets in a slab, watched by one epoll. Reads and writes go through bounded buffers; the
 //! fronts see notices and bytes.
 
+use crate::core::FrontId;
 use crate::interface::Nanos;
 use rustix::event::{epoll, Timespec};
 use rustix::io::{read, write, Errno};
@@ -14,10 +15,8 @@
 /// Who hears of a socket.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Owner {
-    /// The platform's front.
-    Text,
-    /// The AMQP front.
-    Amqp,
+    /// A front.
+    Front(FrontId),
     /// The service table's watch.
     Table,
     /// The pipe of a signal.
@@ -84,10 +83,14 @@
     unproven: bool,
     /// What may still be read and dropped while it lingers.
     discard: usize,
+    /// No more than this is read ahead of who takes it.
+    ahead: usize,
 }
 
-/// No more than this is read ahead of who takes it.
+/// No more than this is read ahead of who takes it, unless the owner asks for more ([`Net::read_ahead`]).
 const READ_AHEAD: usize = 8 * 1024;
+/// One read takes no more than this.
+const ONE_READ: usize = 64 * 1024;
 /// Above this a peer is slow: its counterpart is not read on.
 pub const SLOW: usize = 16 * 1024;
 /// How long a lingering socket may take to hear the peer's end.
@@ -115,6 +118,8 @@
     resting: Option<Nanos>,
     pending: Vec<Notice>,
     now: Nanos,
+    /// Where reads go before they are kept.
+    chunk: Vec<u8>,
 }
 
 impl Net {
@@ -131,6 +136,7 @@
             resting: None,
             pending: Vec::new(),
             now: 0,
+            chunk: vec![0; ONE_READ],
         })
     }
 
@@ -225,6 +231,19 @@
         self.insert(fd, owner, Stage::Open)
     }
 
+    /// This many octets may be read ahead of who takes them: a frame that is to be held whole must fit.
+    pub fn read_ahead(&mut self, token: Token, most: usize) {
+        if let Some(socket) = self.get(token) {
+            socket.ahead = most;
+        }
+    }
+
+    /// The address of a connection's other end.
+    pub fn peer(&self, token: Token) -> Option<SocketAddr> {
+        let socket = self.peek(token)?;
+        rustix::net::getpeername(&socket.fd).ok()?.and_then(|addr| SocketAddr::try_from(addr).ok())
+    }
+
     /// The bytes that have come and not been taken.
     pub fn input(&mut self, token: Token) -> Option<&mut Vec<u8>> {
         self.get(token).map(|s| &mut s.input)
@@ -323,7 +342,7 @@
         }
         let mut interest = epoll::EventFlags::empty();
         let reads = socket.stage != Stage::Connecting && !socket.at_end;
-        if reads && (socket.input.len() < READ_AHEAD || socket.stage == Stage::Lingering) {
+        if reads && (socket.input.len() < socket.ahead || socket.stage == Stage::Lingering) {
             interest |= epoll::EventFlags::IN;
         }
         if socket.stage == Stage::Connecting || !socket.output.is_empty() {
@@ -447,10 +466,16 @@
     }
 
     fn fill(&mut self, token: Token) {
-        let mut chunk = [0; READ_AHEAD];
+        let mut chunk = std::mem::take(&mut self.chunk);
+        self.fill_by(token, &mut chunk);
+        self.chunk = chunk;
+    }
+
+    fn fill_by(&mut self, token: Token, chunk: &mut [u8]) {
         let Some(socket) = self.get(token) else { return };
         let lingers = socket.stage == Stage::Lingering;
-        let room = if lingers { READ_AHEAD } else { READ_AHEAD.saturating_sub(socket.input.len()) };
+        let room = if lingers { READ_AHEAD } else { socket.ahead.saturating_sub(socket.input.len()) };
+        let room = room.min(chunk.len());
         if room == 0 {
             return;
         }
@@ -484,8 +509,13 @@
         while !socket.output.is_empty() {
             match write(&socket.fd, &socket.output) {
                 Ok(count) => {
-                    socket.output.drain(..count);
                     socket.written += count as u64;
+                    if count == socket.output.len() && count > READ_AHEAD {
+                        // What was large once is not kept: there may be many sockets.
+                        socket.output = Vec::new();
+                    } else {
+                        socket.output.drain(..count);
+                    }
                 }
                 Err(Errno::AGAIN) => return,
                 Err(Errno::INTR) => {}
@@ -515,9 +545,9 @@
             return self.drop_socket(token);
         }
         let all_written = socket.stage != Stage::Connecting && socket.output.is_empty();
-        let mut chunk = [0; READ_AHEAD];
-        if let Ok(count) = read(&socket.fd, &mut chunk) {
-            socket.input.extend_from_slice(&chunk[..count]);
+        let room = socket.ahead.min(self.chunk.len());
+        if let Ok(count) = read(&socket.fd, &mut self.chunk[..room]) {
+            socket.input.extend_from_slice(&self.chunk[..count]);
         }
         socket.stage = Stage::Broken;
         // It is in the set, so this cannot fail.
@@ -546,7 +576,7 @@
         }
         let (input, output) = (Vec::new(), Vec::new());
         let (at_end, finish, finished, written) = (false, false, false, 0);
-        let (unproven, discard) = (false, DISCARD);
+        let (unproven, discard, ahead) = (false, DISCARD, READ_AHEAD);
         let socket = Socket {
             fd,
             owner,
@@ -560,6 +590,7 @@
             interest,
             unproven,
             discard,
+            ahead,
         };
         self.slots[index as usize].1 = Some(socket);
         self.open += 1;
@@ -590,6 +621,11 @@
 }
 
 impl Token {
+    #[cfg(test)]
+    pub fn for_tests(number: u64) -> Token {
+        Token(number)
+    }
+
     fn index(self) -> usize {
         (self.0 & 0xffff_ffff) as usize
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,11 +1,9 @@
 //! The loop: gathers what is ready, gives it to the core in one go, carries out what came back.
 
 use crate::config::{Config, Loaded};
-use crate::core::{Command, Core, Front};
+use crate::core::{Command, Core, FrontId};
 use crate::flow_export::FlowExport;
-use crate::front::amqp::AmqpFront;
-use crate::front::text::TextFront;
-use crate::front::{Ctx, Due};
+use crate::front::{Ctx, Due, Files, Fronts};
 use crate::interface::*;
 use crate::log;
 use crate::net::{Kind, Net, Notice, Owner, Token, Wheel};
@@ -14,7 +12,6 @@
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
-use std::path::PathBuf;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// The loop looks after silent peers this often.
@@ -57,10 +54,9 @@
     table: ServiceTable,
     wheel: Wheel<Due>,
     config: Config,
-    /// The AMQP front's file, to be read again with the configuration.
-    amqp_file: Option<PathBuf>,
-    text: TextFront,
-    amqp: Option<AmqpFront>,
+    /// The optional fronts' files, to be read again with the configuration.
+    files: Files,
+    fronts: Fronts,
     export: Option<FlowExport>,
     signals: Signals,
     leaving: Option<Leaving>,
@@ -94,19 +90,28 @@
     };
 }
 
-/// Calls the AMQP front, where it is on.
-macro_rules! on_amqp {
+/// Calls one front.
+macro_rules! front {
+    ($node:expr, $id:expr, $call:ident $(, $arg:expr)*) => {
+        match $node.fronts.get($id) {
+            Some(front) => front.$call(ctx!($node) $(, $arg)*),
+            None => Default::default(),
+        }
+    };
+}
+
+/// Calls every front.
+macro_rules! fronts {
     ($node:expr, $call:ident $(, $arg:expr)*) => {
-        if let Some(mut amqp) = $node.amqp.take() {
-            amqp.$call(ctx!($node) $(, $arg)*);
-            $node.amqp = Some(amqp);
+        for front in $node.fronts.all() {
+            front.$call(ctx!($node) $(, $arg)*);
         }
     };
 }
 
 /// Serves until it is told to stop.
-pub fn serve(loaded: Loaded, amqp_file: Option<PathBuf>, ipfix: Option<SocketAddr>) -> Result<(), String> {
-    let Loaded { node: config, amqp } = loaded;
+pub fn serve(loaded: Loaded, files: Files, ipfix: Option<SocketAddr>) -> Result<(), String> {
+    let Loaded { node: config, fronts: opened } = loaded;
     let at = |what: &str, e: io::Error| format!("{what}: {e}");
     let mut net = Net::new(config.sockets).map_err(|e| at("epoll", e))?;
     let signals = Signals {
@@ -118,13 +123,12 @@
     let mut core = Core::new(config.seed, config.settings.clone()).map_err(|e| e.to_string())?;
     let mut table = ServiceTable::new(config.discovery, config.facts.zones.clone());
     core.tell(table.saved(&config.known));
-    let listen = net.listen(config.listen, Owner::Text).map_err(|e| at("listen", e))?;
+    let mut fronts = Fronts::new();
+    let listen = fronts.listen(&mut net, config.listen).map_err(|e| at("listen", e))?;
     log::line(format_args!("started name={} listen={listen}", config.name));
-    let mut amqp_front = None;
-    if let Some(amqp) = amqp {
-        let listen = net.listen(amqp.listen, Owner::Amqp).map_err(|e| at("amqp listen", e))?;
-        log::line(format_args!("amqp listen={listen}"));
-        amqp_front = Some(AmqpFront::new(amqp, &config.name, &config.facts));
+    for (which, file) in opened {
+        let line = fronts.open(which, file, &mut net, &config.name, &config.facts)?;
+        log::line(format_args!("{line}"));
     }
     let mut export = None;
     if let Some(collector) = ipfix {
@@ -136,8 +140,8 @@
     let clock = Clock::new();
     let mut wheel = Wheel::new(clock.now());
     wheel.at(clock.now(), Due::Look);
-    let (text, amqp, leaving) = (TextFront::new(), amqp_front, None);
-    Node { clock, net, core, table, wheel, config, amqp_file, text, amqp, export, signals, leaving }.run()
+    let leaving = None;
+    Node { clock, net, core, table, wheel, config, files, fronts, export, signals, leaving }.run()
 }
 
 fn signal(net: &mut Net, signals: &[i32]) -> io::Result<Token> {
@@ -164,7 +168,7 @@
             self.decide();
             if self.has_left() {
                 self.export_flows(self.clock.now());
-                log::line(format_args!("{}", self.core.counters));
+                self.print_counters();
                 log::line(format_args!("stopped"));
                 return Ok(());
             }
@@ -173,8 +177,7 @@
 
     fn dispatch(&mut self, notice: Notice) {
         match notice.owner {
-            Owner::Text => self.text.notice(ctx!(self), notice),
-            Owner::Amqp => on_amqp!(self, notice, notice),
+            Owner::Front(id) => front!(self, id, notice, notice),
             Owner::Table => {
                 let broken = matches!(notice.kind, Kind::Broken(_));
                 let now = self.clock.now();
@@ -188,7 +191,7 @@
                 }
                 self.net.rearm(notice.token);
                 if notice.token == self.signals.print {
-                    log::line(format_args!("{}", self.core.counters));
+                    self.print_counters();
                 } else if notice.token == self.signals.reload {
                     self.reload();
                 } else if notice.token == self.signals.stop && self.leaving.is_none() {
@@ -208,14 +211,14 @@
     /// SIGHUP: the configuration is read again. What is wrong changes nothing; what is right changes what
     /// a running node can change. Terminals that stand and regions that are known stay.
     fn reload(&mut self) {
-        let Loaded { node: new, amqp } = match Loaded::again(&self.config, self.amqp_file.as_deref()) {
+        let Loaded { node: new, fronts } = match Loaded::again(&self.config, &self.files) {
             Ok(loaded) => loaded,
             Err(problem) => return log::line(format_args!("reload-refused {problem}")),
         };
         let moved = new.discovery != self.config.discovery;
         let mut fixed = self.config.take_over(new);
-        if let (Some(front), Some(new)) = (&mut self.amqp, amqp) {
-            fixed.extend((!front.take_over(new)).then_some("amqp listen"));
+        for (which, file) in fronts {
+            fixed.extend(self.fronts.take_over(which, file));
         }
         self.net.limit(self.config.sockets);
         self.core.set(self.config.settings.clone());
@@ -237,8 +240,7 @@
         }
         self.core.tell(event);
         let stopped = self.table.stopped();
-        self.text.drained(ctx!(self), &stopped);
-        on_amqp!(self, drained, &stopped);
+        fronts!(self, drained, &stopped);
     }
 
     fn due(&mut self, due: Due) {
@@ -246,20 +248,18 @@
             Due::Module(token) => self.core.tell(Event::Timer(token)),
             Due::Task(txn, shot) => {
                 if let Some(front) = self.core.is_out(txn, shot) {
-                    let outcome = self.give_up(front, txn);
+                    let outcome = self.take_back(front, txn);
                     self.core.task_ended(self.clock.now(), txn, outcome);
                 }
             }
-            Due::Dial(Owner::Amqp, token) => on_amqp!(self, dial_due, token),
-            Due::Dial(_, token) => self.text.dial_due(ctx!(self), token),
-            Due::Idle(token) => self.text.idle_due(ctx!(self), token),
+            Due::Dial(id, token) => front!(self, id, dial_due, token),
+            Due::Timer(id, token) => front!(self, id, timer_due, token),
             Due::Look => {
                 let now = self.clock.now();
                 if let Some(event) = self.table.check(now, &mut self.net) {
                     self.listed(event);
                 }
-                self.text.look(ctx!(self));
-                on_amqp!(self, look);
+                fronts!(self, look);
                 self.export_flows(now);
                 self.wheel.at(now + LOOK_EVERY, Due::Look);
             }
@@ -277,7 +277,7 @@
     fn leave(&mut self) {
         let Some(leaving) = self.leaving else { return };
         let now = self.clock.now();
-        on_amqp!(self, leave);
+        fronts!(self, leave);
         if now >= leaving.answered {
             for command in self.core.abandon(now) {
                 self.carry_out(now, command);
@@ -287,8 +287,9 @@
         let steps = leaving.told.saturating_sub(now) / LEAVE_STEP;
         let count = standing.len().div_ceil(steps as usize + 1);
         for txn in standing.into_iter().take(count) {
-            self.core.moved(now, txn, Outcome::Cancelled);
-            self.text.send_away(ctx!(self), txn);
+            if let Some(id) = self.core.moved(now, txn, Outcome::Cancelled) {
+                front!(self, id, send_away, txn);
+            }
         }
         self.wheel.at(now + LEAVE_STEP, Due::Leave);
     }
@@ -296,56 +297,54 @@
     fn has_left(&self) -> bool {
         let Some(leaving) = self.leaving else { return false };
         let now = self.clock.now();
-        let amqp = self.amqp.as_ref().is_none_or(AmqpFront::is_idle);
         // Exiting resets what still lingers, and a reset may eat the MOVE that it has not read.
-        let idle = self.core.is_idle() && self.text.is_idle() && amqp && self.net.is_quiet();
+        let idle = self.core.is_idle() && self.fronts.are_idle() && self.net.is_quiet();
         now >= leaving.end || (now >= leaving.told && idle)
     }
 
+    /// Hands the core all there is, carries out what comes back, and has the fronts write what they
+    /// gathered; what that brings is handed over in its turn.
     fn decide(&mut self) {
         loop {
             let now = self.clock.now();
             let commands = self.core.decide(now);
-            if commands.is_empty() {
-                return;
-            }
             for command in commands {
                 self.carry_out(now, command);
             }
+            if self.core.has_news() {
+                continue;
+            }
+            fronts!(self, flush);
+            if !self.core.has_news() {
+                return;
+            }
         }
     }
 
-    /// Takes the routed task of a transaction back from its region.
-    fn give_up(&mut self, front: Front, txn: RequestId) -> Outcome {
-        match (front, &mut self.amqp) {
-            (Front::Text, _) => self.text.give_up(ctx!(self), txn),
-            (Front::Amqp, Some(amqp)) => amqp.give_up(ctx!(self), txn),
-            (Front::Amqp, None) => Outcome::Cancelled,
+    fn print_counters(&self) {
+        log::line(format_args!("{}", self.core.counters));
+        for line in self.fronts.counters() {
+            log::line(format_args!("{line}"));
         }
     }
 
+    /// Takes the routed task of a transaction back from its region.
+    fn take_back(&mut self, front: FrontId, txn: RequestId) -> Outcome {
+        self.fronts.get(front).map_or(Outcome::Cancelled, |f| f.give_up(ctx!(self), txn))
+    }
+
     fn carry_out(&mut self, now: Nanos, command: Command) {
         match command {
             Command::Start { front, txn, region, wait } => {
                 self.wheel.at(now + wait, Due::Task(txn, self.core.shot(txn)));
-                match front {
-                    Front::Text => self.text.start(ctx!(self), txn, region, wait),
-                    Front::Amqp => on_amqp!(self, start, txn, region, wait),
-                }
+                front!(self, front, start, txn, region, wait)
             }
             Command::Stop { front, txn } => {
-                self.give_up(front, txn);
-            }
-            Command::Refuse { front: Front::Text, txn, cool_down } => {
-                self.text.refuse(ctx!(self), txn, cool_down)
-            }
-            Command::Refuse { front: Front::Amqp, txn, cool_down } => {
-                on_amqp!(self, refuse, txn, cool_down)
+                self.take_back(front, txn);
             }
-            Command::Fail { front: Front::Text, txn } => self.text.fail(ctx!(self), txn),
-            Command::Fail { front: Front::Amqp, txn } => on_amqp!(self, fail, txn),
-            // Only the text front has connections that stand.
-            Command::Move { txn, .. } => self.text.send_away(ctx!(self), txn),
+            Command::Refuse { front, txn, cool_down } => front!(self, front, refuse, txn, cool_down),
+            Command::Fail { front, txn } => front!(self, front, fail, txn),
+            Command::Move { front, txn } => front!(self, front, send_away, txn),
             Command::Timer { after: 0, token } => self.core.tell(Event::Timer(token)),
             Command::Timer { after, token } => self.wheel.at(now + after, Due::Module(token)),
             Command::Subscribe => {
--- a/tests/amqp.rs
+++ b/tests/amqp.rs
@@ -4,7 +4,7 @@
 
 use peers::*;
 use rstest::rstest;
-use sparbank::amqp_codec::{Detach, Message, Performative, Transfer, Value};
+use sparbank_amqp::{condition, Detach, Message, Performative, State, Tag, Transfer, Value};
 use std::collections::VecDeque;
 use std::net::TcpListener;
 use std::sync::{Arc, Mutex};
@@ -12,12 +12,8 @@
 const ON: &str = r#"{"listen":"127.0.0.1:0"}"#;
 const CLASS: &str = "live-readings";
 
-fn state(code: u64) -> Value {
-    Value::composite(code, Vec::new())
-}
-
-fn failed(failed: bool) -> Value {
-    Value::composite(0x27, vec![Value::Bool(failed)])
+fn modified(failed: bool) -> State {
+    State::Modified { failed, undeliverable_here: false, annotations: None }
 }
 
 fn bench(regions: usize) -> Bench {
@@ -31,13 +27,22 @@
     client
 }
 
-/// The answer to a delivery: the code of its state and the state's fields.
-fn answer(client: &mut AmqpPeer) -> (u64, Vec<Value>) {
+/// The answer to a delivery.
+fn answer(client: &mut AmqpPeer) -> State {
     let (d, _) = until!(client, Disposition);
     assert_eq!((d.role, d.settled), (Some(true), Some(true)));
-    let state = d.state.expect("a state");
-    let (code, fields) = state.as_composite().expect("a composite");
-    (code, fields.to_vec())
+    d.state.expect("a state")
+}
+
+/// Whether an answer is a refusal, which says when to come again.
+fn is_refusal(state: &State) -> bool {
+    let State::Modified { failed: false, annotations: Some(notes), .. } = state else { return false };
+    matches!(notes.get("retry-after"), Some(Value::Uint(_)))
+}
+
+/// Whether an answer says that it may have run.
+fn has_failed(state: &State) -> bool {
+    matches!(state, State::Modified { failed: true, .. })
 }
 
 #[rstest]
@@ -50,21 +55,21 @@
     server.link(10, 100);
     let (transfer, payload) = until!(server, Transfer);
     let (came, went) = (Message::decode(&sent).expect("sound"), Message::decode(&payload).expect("sound"));
-    assert!(went.ttl.expect("a ttl") < 1200);
+    assert!(went.head.ttl.expect("a ttl") < 1200);
     assert_eq!(went.encode(1), came.encode(1), "all else is unchanged");
-    server.settle(transfer.delivery_id.expect("an id"), state(0x24));
-    assert_eq!(answer(&mut client).0, 0x24);
+    server.settle(transfer.delivery_id.expect("an id"), State::Accepted);
+    assert_eq!(answer(&mut client), State::Accepted);
     let counters = bench.stop();
     assert_eq!([value(&counters, "taken"), value(&counters, "sent"), value(&counters, "served")], [1, 1, 1]);
 }
 
 #[rstest]
-#[case::released(state(0x26), "task_full", false)]
-#[case::modified_unfailed(failed(false), "task_full", false)]
-#[case::modified_failed(failed(true), "task_error", true)]
-#[case::rejected(state(0x25), "task_error", true)]
+#[case::released(State::Released, "task_full", false)]
+#[case::modified_unfailed(modified(false), "task_full", false)]
+#[case::modified_failed(modified(true), "task_error", true)]
+#[case::rejected(State::Rejected(None), "task_error", true)]
 fn what_a_region_settles_with_decides_whether_it_may_have_run(
-    #[case] with: Value,
+    #[case] with: State,
     #[case] counter: &str,
     #[case] may_have_run: bool,
 ) {
@@ -76,12 +81,8 @@
     server.link(10, 100);
     let (transfer, _) = until!(server, Transfer);
     server.settle(transfer.delivery_id.expect("an id"), with);
-    let (code, fields) = answer(&mut client);
-    assert_eq!((code, &fields[0]), (0x27, &Value::Bool(may_have_run)));
-    if !may_have_run {
-        let Value::Map(notes) = &fields[2] else { panic!("annotations") };
-        assert!(matches!(&notes[0], (Value::Symbol(name), Value::Uint(_)) if name == "retry-after"));
-    }
+    let state = answer(&mut client);
+    assert_eq!((has_failed(&state), is_refusal(&state)), (may_have_run, !may_have_run));
     assert_eq!(value(&bench.stop(), counter), 1);
 }
 
@@ -98,8 +99,8 @@
     client.deliver(0, &message(400, "7f3a", b"note"));
     let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 100, 4096);
     server.link(u32::from(credit) * 10, 100);
-    let (code, fields) = answer(&mut client);
-    assert_eq!((code, &fields[0]), (0x27, &Value::Bool(may_have_run)));
+    let state = answer(&mut client);
+    assert_eq!((has_failed(&state), is_refusal(&state)), (may_have_run, !may_have_run));
     assert!(value(&bench.stop(), counter) >= 1);
 }
 
@@ -118,7 +119,7 @@
     } else {
         drop(server);
     }
-    assert_eq!(answer(&mut client).1[0], Value::Bool(true));
+    assert!(has_failed(&answer(&mut client)));
     assert_eq!(value(&bench.stop(), "task_reset"), 1);
 }
 
@@ -137,8 +138,8 @@
     let mut other = AmqpPeer::server(Peer::accept(&bench.regions[1 - first]), 100, 65536);
     other.link(10, 100);
     let (transfer, _) = until!(other, Transfer);
-    other.settle(transfer.delivery_id.expect("an id"), state(0x24));
-    assert_eq!(answer(&mut client).0, 0x24);
+    other.settle(transfer.delivery_id.expect("an id"), State::Accepted);
+    assert_eq!(answer(&mut client), State::Accepted);
     // The abort keeps to the window too: it comes once there is room.
     server.flow(10, 1, 100);
     assert_eq!(until!(server, Transfer).0.aborted, Some(true));
@@ -154,12 +155,8 @@
     let bench = bench(1);
     let mut client = client(&bench, CLASS);
     client.deliver(0, &bytes);
-    let (code, fields) = answer(&mut client);
-    let (error, condition) = fields[0].as_composite().expect("an error");
-    assert_eq!((code, error), (0x25, 0x1d));
-    assert!(
-        matches!(&condition[0], Value::Symbol(c) if c == "amqp:decode-error" || c == "amqp:invalid-field")
-    );
+    let State::Rejected(Some(error)) = answer(&mut client) else { panic!("rejected") };
+    assert!([condition::DECODE_ERROR, condition::INVALID_FIELD].contains(&&*error.condition));
     let counters = bench.stop();
     assert_eq!([value(&counters, "malformed"), value(&counters, "taken")], [1, 0]);
 }
@@ -169,8 +166,7 @@
     let bench = bench(1);
     let mut client = AmqpPeer::client(bench.amqp.expect("the front is on"), None);
     let detach = client.attach("nothing").expect_err("no class");
-    let error = detach.error.expect("why");
-    assert_eq!(error.as_composite().expect("an error").1[0], Value::Symbol("amqp:not-found".into()));
+    assert_eq!(detach.error.expect("why").condition, condition::NOT_FOUND);
 }
 
 #[rstest]
@@ -179,11 +175,7 @@
     let mut client = client(&bench, CLASS);
     client.deliver(0, &[0; 70_000]);
     let (close, _) = until!(client, Close);
-    let error = close.error.expect("why");
-    assert_eq!(
-        error.as_composite().expect("an error").1[0],
-        Value::Symbol("amqp:connection:framing-error".into())
-    );
+    assert_eq!(close.error.expect("why").condition, condition::FRAMING_ERROR);
     client.peer.ends();
 }
 
@@ -192,7 +184,8 @@
     let mut bench = bench(1);
     let mut client = client(&bench, CLASS);
     let (handle, delivery_id) = (Some(0), Some(0));
-    let part = Transfer { handle, delivery_id, more: Some(true), ..Default::default() };
+    let delivery_tag = Tag::new(b"t");
+    let part = Transfer { handle, delivery_id, delivery_tag, more: Some(true), ..Default::default() };
     client.put(part);
     client.put(Transfer { handle, delivery_id, aborted: Some(true), ..Default::default() });
     client.deliver(1, &message(60_000, "7f3a", b"gone"));
@@ -207,7 +200,7 @@
     // Nor does a delivery reach a region after its time.
     assert!(client.attach(CLASS).expect("again") > 0);
     client.deliver(2, &message(0, "7f3a", b"late"));
-    assert_eq!(answer(&mut client).0, 0x27);
+    assert!(is_refusal(&answer(&mut client)));
     assert_eq!(bench.counter("sent"), 1);
 }
 
@@ -225,9 +218,7 @@
     client.deliver(0, &message(1200, "7f3a", &[0; 200]));
     client.deliver(1, &message(1200, "7f3a", b"sent before the detach came"));
     let (detach, _) = until!(client, Detach);
-    let error = detach.error.expect("why");
-    let condition = &error.as_composite().expect("an error").1[0];
-    assert_eq!(condition, &Value::Symbol("amqp:link:message-size-exceeded".into()));
+    assert_eq!(detach.error.expect("why").condition, condition::MESSAGE_SIZE_EXCEEDED);
     client.put(Detach { handle: Some(0), closed: Some(true), error: None });
     assert!(client.attach(CLASS).expect("it may attach again") > 0);
 }
@@ -252,7 +243,7 @@
     let mut client = client(&bench, CLASS);
     for id in 0..12 {
         client.deliver(id, &message(60_000, &format!("{id:x}"), b"reading"));
-        assert_eq!(answer(&mut client).0, 0x24);
+        assert_eq!(answer(&mut client), State::Accepted);
     }
     // The module lets one go there in the time in which a cold server falls over, some two seconds.
     let cold = 12 - scripts[1].lock().expect("no test thread failed").len();
@@ -271,11 +262,10 @@
     bench.logged("leaving");
     // Its credit is taken back first.
     while until!(client, Flow).0.link_credit != Some(0) {}
-    server.settle(transfer.delivery_id.expect("an id"), state(0x24));
-    assert_eq!(answer(&mut client).0, 0x24);
+    server.settle(transfer.delivery_id.expect("an id"), State::Accepted);
+    assert_eq!(answer(&mut client), State::Accepted);
     let error = until!(client, Close).0.error.expect("why");
-    let forced = Value::Symbol("amqp:connection:forced".into());
-    assert_eq!(error.as_composite().expect("an error").1[0], forced);
+    assert_eq!(error.condition, condition::CONNECTION_FORCED);
     assert!(bench.child.wait().expect("it ends").success());
 }
 
@@ -307,12 +297,12 @@
     server.link(100, 100);
     while let Next::Body(body, _) = server.frame() {
         if let Performative::Transfer(transfer) = *body {
-            let code = match next(script) {
-                Act::Serve => 0x24,
-                Act::Full => 0x26,
-                Act::Fail => 0x25,
+            let state = match next(script) {
+                Act::Serve => State::Accepted,
+                Act::Full => State::Released,
+                Act::Fail => State::Rejected(None),
             };
-            server.settle(transfer.delivery_id.expect("an id"), state(code));
+            server.settle(transfer.delivery_id.expect("an id"), state);
         }
     }
 }
@@ -355,7 +345,7 @@
                 while !terminal.line().is_empty() {}
             } else {
                 client.deliver(id as u32, &message(60_000, "7f3a", b"reading"));
-                assert_eq!(answer(&mut client).0 == 0x24, served);
+                assert_eq!(answer(&mut client) == State::Accepted, served);
             }
         }
         let after = bench.counters();
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -294,8 +294,8 @@
 
 // ---- AMQP stand-ins ------------------------------------------------------------------------------
 
-use sparbank::amqp_codec as amqp;
-use sparbank::amqp_codec::{Performative, Value};
+use sparbank_amqp as amqp;
+use sparbank_amqp::{Performative, State, Target, Terminus, Value};
 
 /// One end of an AMQP connection, past its handshake, with one session on channel 0.
 pub struct AmqpPeer {
@@ -315,7 +315,7 @@
 macro_rules! until {
     ($peer:expr, $kind:ident) => {
         loop {
-            if let (sparbank::amqp_codec::Performative::$kind(body), payload) = $peer.next() {
+            if let (sparbank_amqp::Performative::$kind(body), payload) = $peer.next() {
                 break (body, payload);
             }
         }
@@ -340,7 +340,7 @@
     pub fn client(addr: SocketAddr, idle_ms: Option<u32>) -> AmqpPeer {
         let mut this = AmqpPeer::shake(Peer::connect(addr), b"AMQP\x03\x01\x00\x00");
         until!(this, SaslMechanisms);
-        let mechanism = Some(Value::Symbol("ANONYMOUS".into()));
+        let mechanism = Some(amqp::Symbol("ANONYMOUS".into()));
         this.put_kind(amqp::SASL, amqp::SaslInit { mechanism, ..Default::default() }.into(), &[]);
         assert_eq!(until!(this, SaslOutcome).0.code, Some(0));
         this.header(b"AMQP\x00\x01\x00\x00");
@@ -393,8 +393,12 @@
 
     pub fn frame(&mut self) -> Next {
         loop {
-            if let Some(frame) = amqp::take_frame(&mut self.bytes, u32::MAX).expect("a sound frame") {
-                return frame.body.map_or(Next::Heartbeat, |body| Next::Body(Box::new(body), frame.payload));
+            let mut left = &self.bytes[..];
+            if let Some(frame) = amqp::take_frame(&mut left, u32::MAX).expect("a sound frame") {
+                let (body, payload) = (frame.body, frame.payload.to_vec());
+                let taken = self.bytes.len() - left.len();
+                self.bytes.drain(..taken);
+                return body.map_or(Next::Heartbeat, |body| Next::Body(Box::new(body), payload));
             }
             let mut chunk = [0; 4096];
             // A connection that ends, politely or not, ends the stand-in's part.
@@ -418,8 +422,9 @@
 
     /// Attaches a sending link to this address and waits for credit or a detach.
     pub fn attach(&mut self, address: &str) -> Result<u32, amqp::Detach> {
-        let target = Some(Value::composite(0x29, vec![Value::Text(address.into())]));
-        let (name, handle, role) = (Some(address.to_string()), Some(0), Some(false));
+        let address = Some(address.to_string());
+        let target = Some(Terminus::Target(Target { address, ..Default::default() }));
+        let (name, handle, role) = (Some("link".to_string()), Some(0), Some(false));
         let count = Some(0);
         let attach =
             amqp::Attach { name, handle, role, target, initial_delivery_count: count, ..Default::default() };
@@ -435,7 +440,7 @@
 
     /// Sends a whole delivery.
     pub fn deliver(&mut self, id: u32, message: &[u8]) {
-        let (handle, delivery_id, delivery_tag) = (Some(0), Some(id), Some(vec![id as u8]));
+        let (handle, delivery_id, delivery_tag) = (Some(0), Some(id), amqp::Tag::new(&[id as u8]));
         let transfer = amqp::Transfer { handle, delivery_id, delivery_tag, ..Default::default() };
         self.put_kind(amqp::AMQP, transfer.into(), message);
     }
@@ -463,7 +468,7 @@
     }
 
     /// Settles a delivery of the node's with this state.
-    pub fn settle(&mut self, id: u32, state: Value) {
+    pub fn settle(&mut self, id: u32, state: State) {
         let (role, first, settled) = (Some(true), Some(id), Some(true));
         self.put(amqp::Disposition { role, first, settled, state: Some(state), ..Default::default() });
     }
