--- a/src/front/amqp/from_terminals.rs
+++ b/src/front/amqp/from_terminals.rs
@@ -151,7 +151,7 @@
     }
 
     /// A slow terminal has read what there was: what waits for it goes on.
-    fn forward_all(&mut self, ctx: &mut Ctx, token: Token) {
+    pub(super) fn forward_all(&mut self, ctx: &mut Ctx, token: Token) {
         let Some(terminal) = self.terminals.get(token) else { return };
         let relays =
             terminal.links.values().filter_map(|u| if let Use::Relay(r) = u { Some(*r) } else { None });
--- a/src/front/amqp/mod.rs
+++ b/src/front/amqp/mod.rs
@@ -291,16 +291,21 @@
     }
 
     fn flush(&mut self, ctx: &mut Ctx) {
-        let happened = self.regions.flush(ctx, &self.config, &mut self.items);
-        self.happened(ctx, happened);
-        if self.items.held() < self.config.max_held / 4 * 3 {
-            for token in self.terminals.take_paused() {
-                self.read_terminal(ctx, token);
+        // What one side writes may make room for the other: both are gone through until neither has more.
+        while self.regions.is_dirty() || self.terminals.is_dirty() {
+            let happened = self.regions.flush(ctx, &self.config, &mut self.items);
+            self.happened(ctx, happened);
+            if self.items.held() < self.config.max_held / 4 * 3 {
+                for token in self.terminals.take_paused() {
+                    self.read_terminal(ctx, token);
+                }
             }
-        }
-        for token in self.terminals.take_dirty() {
-            if !self.terminals.flush(ctx, token) {
-                self.terminal_gone(ctx, token);
+            for token in self.terminals.take_dirty() {
+                if !self.terminals.flush(ctx, token) {
+                    self.terminal_gone(ctx, token);
+                } else if self.terminals.takes_more(ctx, token) {
+                    self.forward_all(ctx, token);
+                }
             }
         }
     }
--- a/src/front/amqp/regions.rs
+++ b/src/front/amqp/regions.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Whether there may be something to do.
+    pub fn is_dirty(&self) -> bool {
+        !self.dirty.is_empty()
+    }
+
     /// There may be something to write on a connection.
     pub fn touch_link(&mut self, token: Token) {
         if let Some(region) = self.of(token) {
@@ -330,13 +335,22 @@
             if let Some(at) = self.map.get_mut(&region) {
                 at.dirty = false;
             }
-            self.pump(ctx, config, region, items, &mut happened);
+            let full = self.pump(ctx, config, region, items, &mut happened);
             let conns = self.map.get(&region).map_or(Vec::new(), |at| at.conns.clone());
-            conns.into_iter().for_each(|token| self.write(ctx, token));
+            let mut room = false;
+            for token in conns {
+                self.write(ctx, token);
+                room |= ctx.net.unwritten(token) < AHEAD;
+            }
+            // Where the socket took it all at once, no notice will say that there is room again.
+            if full && room {
+                self.touch(region);
+            }
         }
         happened
     }
 
+    /// True where a connection took all that is written at one time, and there is more.
     fn pump(
         &mut self,
         ctx: &mut Ctx,
@@ -344,12 +358,13 @@
         region: ServerId,
         items: &mut Items,
         happened: &mut Vec<Happened>,
-    ) {
+    ) -> bool {
         self.attach_relays(ctx, config, region, happened);
         self.widen(ctx, config, region, happened);
         let classes = self.classes.len();
-        let Some(at) = self.map.get_mut(&region).filter(|at| !at.outlets.is_empty()) else { return };
+        let Some(at) = self.map.get_mut(&region).filter(|at| !at.outlets.is_empty()) else { return false };
         at.turn = at.turn.wrapping_add(1);
+        let mut full = false;
         // Every lane of every class sends one chunk a round, until none can.
         loop {
             let mut moved = false;
@@ -361,6 +376,7 @@
                     let (scratch, conn) = (&mut self.scratch, &mut link.conn);
                     match feed(ctx, config, scratch, region, turns, lane, conn, items) {
                         Fed::Still => {}
+                        Fed::Full => full = true,
                         Fed::Moved => moved = true,
                         Fed::TooLarge(txn) => {
                             happened.push(Happened::Over(txn, Outcome::Full));
@@ -377,6 +393,7 @@
         if at.outlets.iter().any(stuck) {
             self.widen(ctx, config, region, happened);
         }
+        full
     }
 
     /// Opens a lane for each class that has something waiting and no lane that could take it: the first,
@@ -424,8 +441,26 @@
         }
     }
 
+    /// A relay that does not stand is given up: its link, if it was asked for, is detached. True where
+    /// nothing had gone out.
+    pub fn drop_relay(&mut self, region: ServerId, relay: u64) -> bool {
+        if self.forget_relay(region, relay) {
+            return true;
+        }
+        for token in self.map.get(&region).map_or(Vec::new(), |at| at.conns.clone()) {
+            let Some(link) = self.links.get_mut(&token) else { continue };
+            let asked = link.uses.iter().find(|(_, kind)| **kind == Use::Relay(relay)).map(|(at, _)| *at);
+            if let Some(at) = asked {
+                link.uses.remove(&at);
+                link.conn.detach(at, true, None);
+                self.touch(region);
+            }
+        }
+        false
+    }
+
     /// A relay that waits for a session waits no more. False where its attach has gone out.
-    pub fn forget_relay(&mut self, region: ServerId, relay: u64) -> bool {
+    fn forget_relay(&mut self, region: ServerId, relay: u64) -> bool {
         let Some(at) = self.map.get_mut(&region) else { return false };
         let before = at.relays.len();
         at.relays.retain(|(waiting, _)| *waiting != relay);
@@ -437,6 +472,8 @@
 enum Fed {
     /// It can do nothing now.
     Still,
+    /// Its connection has all that is written at one time.
+    Full,
     /// Something moved: it may go on.
     Moved,
     /// This delivery is larger than the region takes.
@@ -469,7 +506,7 @@
 ) -> Fed {
     let room = AHEAD.saturating_sub(ctx.net.unwritten(lane.token));
     if conn.pending() >= room {
-        return Fed::Still;
+        return if lane.current.is_some() || !turns.is_empty() { Fed::Full } else { Fed::Still };
     }
     let room = room.min(conn.pending() + CHUNK);
     let Some(txn) = next(turns, lane, conn) else { return Fed::Still };
--- a/src/front/amqp/relays.rs
+++ b/src/front/amqp/relays.rs
@@ -115,7 +115,7 @@
             self.replies.retain(|_, reply| *reply != relay);
         }
         if let (Some(region), false) = (gone.region, gone.up) {
-            regions.forget_relay(region, relay);
+            regions.drop_relay(region, relay);
         }
         for inflow in gone.inflows.iter().flatten() {
             drop_inflow(inflow, regions);
@@ -127,10 +127,8 @@
     /// gone out.
     pub fn take_back(&mut self, relay: u64, regions: &mut Regions) -> bool {
         let Some(at) = self.map.get_mut(&relay) else { return true };
-        let unsent = at.region.take().is_some_and(|region| regions.forget_relay(region, relay));
-        for inflow in std::mem::take(&mut at.inflows).into_iter().flatten() {
-            drop_inflow(&inflow, regions);
-        }
+        let unsent = at.region.take().is_some_and(|region| regions.drop_relay(region, relay));
+        at.inflows.clear();
         unsent
     }
 
@@ -233,6 +231,7 @@
             inflow.octets -= sent.taken;
             if sent.taken < chunk.bytes.len() || (chunk.last && !sent.done) {
                 chunk.bytes.drain(..sent.taken);
+                terminal.stalled = terminal.conn.pending() >= room;
                 break;
             }
             if sent.done {
--- a/src/front/amqp/terminals.rs
+++ b/src/front/amqp/terminals.rs
@@ -5,7 +5,7 @@
 use super::items::Map;
 use crate::front::Ctx;
 use crate::interface::{Nanos, RequestId};
-use crate::net::Token;
+use crate::net::{Token, SLOW};
 use sparbank_amqp::{Connection, LinkId};
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -20,6 +20,8 @@
     ip: Option<IpAddr>,
     /// There may be something to write.
     dirty: bool,
+    /// A relay has more for it than is written at one time.
+    pub stalled: bool,
     /// A wrong password is answered at this time, not before.
     pub refuse_at: Option<Nanos>,
 }
@@ -76,7 +78,8 @@
             *count += 1;
         }
         let (links, who) = (Map::default(), Rc::new(Who::default()));
-        let terminal = Terminal { conn, links, live: 0, who, ip, dirty: false, refuse_at: None };
+        let (dirty, stalled, refuse_at) = (false, false, None);
+        let terminal = Terminal { conn, links, live: 0, who, ip, dirty, stalled, refuse_at };
         self.map.insert(token, Box::new(terminal));
         true
     }
@@ -150,6 +153,11 @@
         }
     }
 
+    /// Whether there may be something to write, or to read after a pause.
+    pub fn is_dirty(&self) -> bool {
+        !self.dirty.is_empty()
+    }
+
     pub fn take_dirty(&mut self) -> Vec<Token> {
         let dirty = std::mem::take(&mut self.dirty);
         for token in &dirty {
@@ -197,6 +205,15 @@
         self.touch(token);
     }
 
+    /// Whether relays had more for a terminal than was written at one time, and there is room again. Where
+    /// the socket took it all at once, no notice says so.
+    pub fn takes_more(&mut self, ctx: &Ctx, token: Token) -> bool {
+        let Some(terminal) = self.map.get_mut(&token) else { return false };
+        let more = terminal.stalled && ctx.net.unwritten(token) < SLOW;
+        terminal.stalled &= !more;
+        more
+    }
+
     /// Writes what there is. False where the connection is over with it.
     pub fn flush(&mut self, ctx: &mut Ctx, token: Token) -> bool {
         let Some(terminal) = self.map.get_mut(&token) else { return true };
--- /dev/null
+++ b/tests/amqp_access.rs
@@ -0,0 +1,197 @@
+//! Stories of who may come in: users, passwords, classes.
+
+mod peers;
+
+use peers::*;
+use rstest::rstest;
+use sparbank_amqp::{condition, Asked, Connection, Credentials, Event, Settings, State, Transfer};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::Stdio;
+use std::time::{Duration, Instant};
+
+const CLASS: &str = "live-readings";
+
+/// A users' file made by the sub-command, with one user and its classes.
+fn users(name: &str, password: &str, classes: &[&str]) -> std::path::PathBuf {
+    let path = file("users.json", r#"{"users":{}}"#);
+    let mut args = vec!["amqp-user", path.to_str().expect("a path"), name, "--subscriber", "porto-catania"];
+    for class in classes {
+        args.extend(["--class", class]);
+    }
+    let mut child = program(&args, &path).stdin(Stdio::piped()).spawn().expect("it starts");
+    let mut stdin = child.stdin.take().expect("its input");
+    stdin.write_all(format!("{password}\n").as_bytes()).expect("written");
+    drop(stdin);
+    assert!(child.wait().expect("it ends").success());
+    let text = std::fs::read_to_string(&path).expect("the file");
+    assert!(!text.contains(password), "no password is kept");
+    path
+}
+
+fn bench(users: &std::path::Path) -> Bench {
+    let on = format!(
+        r#"{{"listen":"127.0.0.1:0","users":{:?},"plain_unencrypted":true}}"#,
+        users.to_str().expect("a path")
+    );
+    Bench::with(vec![listener()], Some(&on))
+}
+
+/// Comes in by SCRAM-SHA-256 with the library's own client; whether it is let in.
+fn scram(addr: SocketAddr, user: &str, password: &str) -> bool {
+    let mut stream = TcpStream::connect(addr).expect("the node listens");
+    stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out");
+    let (user, password) = (user.to_string(), password.to_string());
+    let credentials = Credentials::Scram { user, password, nonce: "fyko+d2lbbFgONRv9qkxdawL".into() };
+    let mut conn = Connection::dial(0, Settings::default(), Some(credentials));
+    let mut input = Vec::new();
+    loop {
+        stream.write_all(&conn.take_out(0)).expect("written");
+        let mut chunk = [0; 4096];
+        let count = stream.read(&mut chunk).unwrap_or(0);
+        if count == 0 {
+            return false;
+        }
+        input.extend(&chunk[..count]);
+        let mut left = &input[..];
+        loop {
+            match conn.next(0, &mut left) {
+                Ok(Some(Event::Opened {})) => return true,
+                Ok(Some(Event::Asked(Asked::Anonymous))) => unreachable!("the server asks nothing"),
+                Ok(Some(_)) => {}
+                Ok(None) => break,
+                Err(why) => {
+                    assert_eq!(why.condition, condition::UNAUTHORIZED_ACCESS);
+                    return false;
+                }
+            }
+        }
+        let taken = input.len() - left.len();
+        input.drain(..taken);
+    }
+}
+
+#[rstest]
+fn plain_and_scram_let_in_who_knows_the_password() {
+    let mut bench = bench(&users("anna", "wind and rain", &[]));
+    let addr = bench.amqp.expect("on");
+    let mut client = AmqpPeer::known(addr, "PLAIN", b"\0anna\0wind and rain").expect("known");
+    client.open("c", None, 4096);
+    until!(client, Open);
+    assert!(scram(addr, "anna", "wind and rain"));
+    assert!(!scram(addr, "anna", "wind"));
+    assert!(!scram(addr, "nobody", "wind and rain"));
+    bench.signal("-USR1");
+    assert_eq!(value(&bench.logged("amqp-counters"), "logins_refused"), 2);
+}
+
+#[rstest]
+#[case::a_wrong_password("PLAIN", b"\0anna\0wrong", true)]
+#[case::an_unknown_user("PLAIN", b"\0nobody\0wind", true)]
+#[case::no_user("PLAIN", b"\0\0", true)]
+#[case::no_plain_response("PLAIN", b"anna", false)]
+#[case::nobody_in_particular("ANONYMOUS", b"", false)]
+#[case::a_mechanism_that_is_not_offered("CRAM-MD5", b"", false)]
+fn who_is_not_known_is_refused_and_a_guess_costs_time(
+    #[case] mechanism: &str,
+    #[case] response: &[u8],
+    #[case] slow: bool,
+) {
+    let bench = bench(&users("anna", "wind", &[]));
+    let started = Instant::now();
+    let code = AmqpPeer::known(bench.amqp.expect("on"), mechanism, response).err();
+    assert_eq!(code, Some(1));
+    assert_eq!(started.elapsed() >= Duration::from_secs(1), slow);
+}
+
+#[rstest]
+fn without_sasl_nobody_gets_in_where_there_are_users() {
+    let bench = bench(&users("anna", "wind", &[]));
+    let mut peer = Peer::connect(bench.amqp.expect("on"));
+    peer.say("AMQP\u{0}\u{1}\u{0}\u{0}");
+    let mut header = [0; 8];
+    peer.read_exact(&mut header);
+    assert_eq!(&header, b"AMQP\x03\x01\x00\x00", "it is told what to speak");
+    peer.ends();
+}
+
+#[rstest]
+fn a_user_attaches_to_its_classes_only() {
+    let bench = bench(&users("anna", "wind", &[CLASS]));
+    let mut client = AmqpPeer::known(bench.amqp.expect("on"), "PLAIN", b"\0anna\0wind").expect("known");
+    client.open("c", None, 4096);
+    until!(client, Open);
+    client.begin(None, 100);
+    until!(client, Begin);
+    let detach = client.attach("station-notes").expect_err("not its class");
+    assert_eq!(detach.error.expect("why").condition, condition::UNAUTHORIZED_ACCESS);
+    client.put(sparbank_amqp::Detach { handle: Some(0), closed: Some(true), error: None });
+    let source = sparbank_amqp::Source { address: Some("station-notes".into()), ..Default::default() };
+    let detach = client.receive(4, source).expect_err("nor to receive");
+    assert_eq!(detach.error.expect("why").condition, condition::UNAUTHORIZED_ACCESS);
+    assert!(client.attach(CLASS).expect("its class") > 0);
+}
+
+/// A hundred guesses at once are felt by nobody who is in.
+#[rstest]
+fn guessers_do_not_slow_the_usual_clients() {
+    let on = format!(
+        r#"{{"listen":"127.0.0.1:0","users":{:?},"plain_unencrypted":true}}"#,
+        users("anna", "wind", &[]).to_str().expect("a path")
+    );
+    let bench = Bench::with_args(vec![listener()], Some(&on), &[], |text| {
+        text.replace(r#""sockets":256"#, r#""sockets":600"#)
+    });
+    let addr = bench.amqp.expect("on");
+    let mut client = AmqpPeer::known(addr, "PLAIN", b"\0anna\0wind").expect("known");
+    client.open("c", None, 4096);
+    until!(client, Open);
+    client.begin(None, 1000);
+    until!(client, Begin);
+    assert!(client.attach(CLASS).expect("known") > 0);
+    let mut guessers: Vec<Peer> = (0..100).map(|_| Peer::connect(addr)).collect();
+    let init = sparbank_amqp::SaslInit {
+        mechanism: Some(sparbank_amqp::Symbol("PLAIN".into())),
+        initial_response: Some(b"\0anna\0guess".to_vec()),
+        hostname: None,
+    };
+    let mut bytes = b"AMQP\x03\x01\x00\x00".to_vec();
+    sparbank_amqp::put_frame(&mut bytes, sparbank_amqp::SASL, 0, Some(&init.into()), &[]);
+    for guesser in &mut guessers {
+        guesser.stream.write_all(&bytes).expect("written");
+    }
+    let listener = bench.regions[0].try_clone().expect("a second handle");
+    std::thread::spawn(move || {
+        let mut server = AmqpPeer::server(Peer::accept(&listener), 1000, 65536);
+        server.link(1000, 1000);
+        while let Next::Body(body, _) = server.frame() {
+            if let sparbank_amqp::Performative::Transfer(Transfer { delivery_id: Some(id), .. }) = *body {
+                server.settle(id, State::Accepted);
+            }
+        }
+    });
+    for id in 0..20 {
+        client.deliver(id, &message(1000, "7f3a", b"reading"));
+        assert_eq!(until!(client, Disposition).0.state, Some(State::Accepted), "within its second");
+    }
+}
+
+#[rstest]
+#[case::no_such_file("nowhere.json", "nowhere.json")]
+#[case::not_a_key("", "users.anna.stored_key")]
+fn a_users_file_that_is_wrong_is_named(#[case] path: &str, #[case] names: &str) {
+    let path = if path.is_empty() {
+        let wrong =
+            r#"{"users":{"anna":{"salt":"AA==","rounds":4096,"stored_key":"!","server_key":"AA=="}}}"#;
+        file("users.json", wrong).to_str().expect("a path").to_string()
+    } else {
+        path.to_string()
+    };
+    let amqp = file("amqp.json", &format!(r#"{{"users":{path:?}}}"#));
+    let node = file("node.json", &config(listener().local_addr().expect("bound"), "", 256));
+    let args = ["check-config", "--amqp", amqp.to_str().expect("a path")];
+    let output = program(&args, &node).output().expect("it runs");
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).expect("text");
+    assert!(text.contains(names) && text.lines().count() == 1, "{text}");
+}
--- /dev/null
+++ b/tests/amqp_receiving.rs
@@ -0,0 +1,343 @@
+//! Stories of terminals that receive: a receiving link is a standing connection, and the rules of
+//! standing connections hold for it.
+
+mod peers;
+
+use peers::*;
+use rstest::rstest;
+use sparbank_amqp::{
+    condition, Attach, Detach, Flow, Performative, Source, State, Tag, Terminus, Transfer, Value,
+};
+use std::time::{Duration, Instant};
+
+const ON: &str = r#"{"listen":"127.0.0.1:0"}"#;
+const CLASS: &str = "live-readings";
+
+fn bench(regions: usize) -> Bench {
+    Bench::with((0..regions).map(|_| listener()).collect(), Some(ON))
+}
+
+fn client(bench: &Bench) -> AmqpPeer {
+    AmqpPeer::client(bench.amqp.expect("the front is on"), None)
+}
+
+fn from(address: &str) -> Source {
+    Source { address: Some(address.into()), ..Default::default() }
+}
+
+/// Asks for what a class sends, without waiting for the answer.
+fn ask(client: &mut AmqpPeer, handle: u32) {
+    let (name, role) = (Some(format!("from-{handle}")), Some(true));
+    let (source, target) = (Some(from(CLASS)), Some(Terminus::Target(Default::default())));
+    client.put(Attach { name, handle: Some(handle), role, source, target, ..Default::default() });
+}
+
+/// A client whose link stands at a region, which sends at handle 7.
+fn standing(bench: &Bench) -> (AmqpPeer, usize, AmqpPeer) {
+    let mut client = client(bench);
+    ask(&mut client, 0);
+    let (at, peer) = accept_any(&bench.regions);
+    let mut server = AmqpPeer::server(peer, 1000, 65536);
+    assert_eq!(server.source(7).source.expect("passed on").address.as_deref(), Some(CLASS));
+    assert!(until!(client, Attach).0.source.is_some());
+    (client, at, server)
+}
+
+#[rstest]
+fn deliveries_flow_by_the_terminals_credit_and_settlements_flow_back() {
+    let bench = bench(1);
+    let (mut client, _, mut server) = standing(&bench);
+    client.grant(0, 0, 3);
+    let (flow, _) = until!(server, Flow);
+    assert_eq!((flow.handle.is_some(), flow.link_credit), (true, Some(3)));
+    for id in 0..3 {
+        server.send(7, id, &message(60_000, "k", format!("reading {id}").as_bytes()));
+    }
+    for id in 0..3u32 {
+        let (transfer, payload) = until!(client, Transfer);
+        assert_eq!(transfer.delivery_tag, Tag::new(&id.to_be_bytes()), "the region's own tag");
+        assert!(payload.ends_with(format!("reading {id}").as_bytes()));
+        let state = if id == 1 { State::Released } else { State::Accepted };
+        client.settle(transfer.delivery_id.expect("an id"), state);
+        let (d, _) = until!(server, Disposition);
+        let expected = if id == 1 { State::Released } else { State::Accepted };
+        assert_eq!((d.first, d.settled, d.state), (Some(id), Some(true), Some(expected)));
+    }
+    client.grant(0, 3, 5);
+    assert_eq!(until!(server, Flow).0.link_credit, Some(5));
+    client.put(Detach { handle: Some(0), closed: Some(true), error: None });
+    until!(client, Detach);
+    until!(server, Detach);
+    let counters = bench.stop();
+    let all = ["taken", "sent", "up", "served", "ended", "failed"].map(|name| value(&counters, name));
+    assert_eq!(all, [1, 1, 1, 1, 1, 0]);
+}
+
+#[rstest]
+fn a_delivery_in_parts_and_an_abort_pass_through() {
+    let bench = bench(1);
+    let (mut client, _, mut server) = standing(&bench);
+    client.grant(0, 0, 10);
+    until!(server, Flow);
+    let part = |id: u32, more: bool, aborted: bool| Transfer {
+        handle: Some(7),
+        delivery_id: Some(id),
+        delivery_tag: Tag::new(&[id as u8]),
+        more: Some(more),
+        aborted: Some(aborted),
+        ..Default::default()
+    };
+    server.put_kind(0, part(0, true, false).into(), &[1; 10_000]);
+    assert_eq!(until!(client, Transfer).0.more, Some(true));
+    server.put(part(0, false, true));
+    assert_eq!(until!(client, Transfer).0.aborted, Some(true));
+    server.put_kind(0, part(1, true, false).into(), &[2; 10_000]);
+    server.put_kind(0, part(1, false, false).into(), &[3; 10_000]);
+    let mut size = 0;
+    loop {
+        let (transfer, payload) = until!(client, Transfer);
+        size += payload.len();
+        if transfer.more != Some(true) {
+            break;
+        }
+    }
+    assert_eq!(size, 20_000);
+}
+
+#[rstest]
+fn a_region_that_refuses_is_passed_over_and_when_all_do_the_terminal_hears_when_to_come_again() {
+    let bench = bench(2);
+    let mut client = client(&bench);
+    ask(&mut client, 0);
+    // Both regions refuse: each is asked until the attempts are used up.
+    for listener in &bench.regions {
+        let listener = listener.try_clone().expect("a second handle");
+        std::thread::spawn(move || {
+            let mut server = AmqpPeer::server(Peer::accept(&listener), 100, 65536);
+            while let Next::Body(body, _) = server.frame() {
+                if let Performative::Attach(attach) = *body {
+                    let handle = attach.handle;
+                    let name = attach.name;
+                    let (role, count) = (Some(false), Some(0));
+                    server.put(Attach {
+                        name,
+                        handle,
+                        role,
+                        initial_delivery_count: count,
+                        ..Default::default()
+                    });
+                    let error = sparbank_amqp::Error::new(condition::RESOURCE_LIMIT_EXCEEDED, "full");
+                    server.put(Detach { handle, closed: Some(true), error: Some(Box::new(error)) });
+                }
+            }
+        });
+    }
+    assert_eq!(until!(client, Attach).0.source, None);
+    let error = until!(client, Detach).0.error.expect("why");
+    assert_eq!(error.condition, condition::RESOURCE_LIMIT_EXCEEDED);
+    assert!(matches!(error.info.expect("info").get("retry-after"), Some(Value::Uint(_))));
+    let counters = bench.stop();
+    assert_eq!(value(&counters, "refused"), 1);
+    assert!(value(&counters, "task_full") >= 2, "each was asked");
+}
+
+#[rstest]
+fn a_region_that_never_answers_the_attach_is_given_up_for_another() {
+    let bench = bench(2);
+    let mut client = client(&bench);
+    ask(&mut client, 0);
+    let (at, peer) = accept_any(&bench.regions);
+    let mut silent = AmqpPeer::server(peer, 100, 65536);
+    until!(silent, Attach);
+    let mut other = AmqpPeer::server(Peer::accept(&bench.regions[1 - at]), 100, 65536);
+    other.source(7);
+    assert!(until!(client, Attach).0.source.is_some());
+    // The first one is told that nobody waits there any more.
+    until!(silent, Detach);
+    let counters = bench.stop();
+    assert_eq!([value(&counters, "task_timeout"), value(&counters, "served")], [1, 1]);
+}
+
+#[rstest]
+fn a_killed_region_is_passed_on_within_a_second_and_a_silent_one_within_seven() {
+    let mut bench = bench(1);
+    let (mut client, _, server) = standing(&bench);
+    let killed = Instant::now();
+    drop(server);
+    let (detach, _) = until!(client, Detach);
+    assert_eq!(detach.error.expect("why").condition, condition::DETACH_FORCED);
+    assert!(killed.elapsed() < Duration::from_secs(1));
+    client.put(Detach { handle: Some(0), closed: Some(true), error: None });
+    // It comes again; this time the region says nothing more, not even a heartbeat.
+    ask(&mut client, 0);
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 1000, 65536);
+    server.source(7);
+    until!(client, Attach);
+    let silent = Instant::now();
+    until!(client, Detach);
+    assert!(silent.elapsed() < Duration::from_secs(7));
+    assert_eq!([bench.counter("served"), bench.counter("ended")], [2, 2]);
+}
+
+#[rstest]
+#[case::served_to_its_end(None, None)]
+#[case::sent_away(Some(condition::DETACH_FORCED), Some(condition::DETACH_FORCED))]
+#[case::broken(Some(condition::INTERNAL_ERROR), Some(condition::INTERNAL_ERROR))]
+fn what_the_region_ends_ends_the_same_way_at_the_terminal(
+    #[case] says: Option<&str>,
+    #[case] hears: Option<&str>,
+) {
+    let mut bench = bench(1);
+    let (mut client, _, mut server) = standing(&bench);
+    let error = says.map(|condition| Box::new(sparbank_amqp::Error::new(condition, "why")));
+    server.put(Detach { handle: Some(7), closed: Some(true), error });
+    let (detach, _) = until!(client, Detach);
+    assert_eq!(detach.error.as_ref().map(|e| e.condition.as_str()), hears);
+    assert_eq!([bench.counter("served"), bench.counter("ended")], [1, 1]);
+}
+
+#[rstest]
+fn sigterm_sends_terminals_away_between_two_deliveries() {
+    let mut bench = bench(1);
+    let (mut client, _, mut server) = standing(&bench);
+    client.grant(0, 0, 10);
+    until!(server, Flow);
+    // Half a delivery is out when the node leaves.
+    let half = Transfer {
+        handle: Some(7),
+        delivery_id: Some(0),
+        delivery_tag: Tag::new(b"t"),
+        more: Some(true),
+        ..Default::default()
+    };
+    server.put_kind(0, half.into(), b"half");
+    until!(client, Transfer);
+    bench.signal("-TERM");
+    assert_eq!(until!(client, Transfer).0.aborted, Some(true), "not in the middle of a delivery");
+    let error = until!(client, Detach).0.error.expect("why");
+    assert_eq!(error.condition, condition::DETACH_FORCED);
+    assert_eq!(error.info.expect("info").get("retry-after"), Some(&Value::Uint(0)));
+    assert_eq!(until!(client, Close).0.error.expect("why").condition, condition::CONNECTION_FORCED);
+    let counters = bench.logged("counters");
+    assert_eq!(value(&counters, "moved"), 1);
+}
+
+#[rstest]
+fn when_the_node_leaves_terminals_are_redirected_where_the_settings_say_so() {
+    let to = r#""redirect":{"hostname":"sparbank-2","network_host":"127.0.0.2","port":5673}"#;
+    let bench = Bench::with(vec![listener()], Some(&format!(r#"{{"listen":"127.0.0.1:0",{to}}}"#)));
+    let mut client = client(&bench);
+    bench.signal("-TERM");
+    let error = until!(client, Close).0.error.expect("why");
+    assert_eq!(error.condition, condition::CONNECTION_REDIRECT);
+    let info = error.info.expect("info");
+    assert_eq!(info.get("network-host"), Some(&Value::text("127.0.0.2")));
+    assert_eq!(info.get("port"), Some(&Value::Ushort(5673)));
+}
+
+#[rstest]
+fn a_slow_terminal_slows_only_itself() {
+    let bench = bench(1);
+    let (mut slow, _, mut server) = standing(&bench);
+    let mut quick = client(&bench);
+    ask(&mut quick, 0);
+    server.source(8);
+    until!(quick, Attach);
+    quick.grant(0, 0, 1000);
+    until!(server, Flow);
+    slow.grant(0, 0, 1000);
+    // The slow one reads nothing, while its region sends all that it is granted.
+    let body = message(60_000, "k", &[7; 16_000]);
+    let (mut sent, mut granted) = (0, until!(server, Flow).0.link_credit.expect("credit"));
+    let mut id = 0;
+    while granted > 0 {
+        server.send(7, id, &body);
+        (id, sent, granted) = (id + 1, sent + 1, granted - 1);
+    }
+    for _ in 0..20 {
+        server.send(8, id, &message(60_000, "k", b"quick"));
+        id += 1;
+        let (transfer, _) = until!(quick, Transfer);
+        quick.settle(transfer.delivery_id.expect("an id"), State::Accepted);
+    }
+    // The slow one reads at last, and nothing of its is lost.
+    for _ in 0..sent {
+        while until!(slow, Transfer).0.more == Some(true) {}
+    }
+}
+
+#[rstest]
+fn a_drain_that_the_terminal_asks_for_gives_its_credit_back() {
+    let bench = bench(1);
+    let (mut client, _, mut server) = standing(&bench);
+    client.grant(0, 0, 5);
+    until!(server, Flow);
+    client.put(Flow {
+        next_incoming_id: Some(0),
+        incoming_window: Some(1000),
+        next_outgoing_id: Some(0),
+        outgoing_window: Some(100),
+        handle: Some(0),
+        delivery_count: Some(0),
+        link_credit: Some(5),
+        drain: Some(true),
+        ..Default::default()
+    });
+    let (flow, _) = until!(client, Flow);
+    assert_eq!((flow.delivery_count, flow.link_credit), (Some(5), Some(0)));
+}
+
+#[rstest]
+fn replies_come_to_a_dynamic_node_from_whichever_region_has_the_request() {
+    let mut bench = bench(1);
+    let mut client = client(&bench);
+    let source = Source { dynamic: Some(true), ..Default::default() };
+    let attach = client.receive(5, source).expect("accepted");
+    let address = attach.source.expect("a source").address.expect("a name of the node's");
+    client.grant(5, 0, 10);
+    assert!(client.attach(CLASS).expect("known") > 0);
+    client.deliver(0, &addressed(CLASS, Some(&address), 60_000, b"request"));
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 1000, 65536);
+    server.link(10, 1000);
+    let (request, payload) = until!(server, Transfer);
+    let head = sparbank_amqp::Head::read(&payload).expect("sound").expect("whole");
+    assert_eq!(head.reply_to.as_deref(), Some(address.as_str()));
+    // The region answers on a link of its own.
+    let target = |address: &str| {
+        Some(Terminus::Target(sparbank_amqp::Target { address: Some(address.into()), ..Default::default() }))
+    };
+    let attach = |handle: u32, address: &str| Attach {
+        name: Some(format!("reply-{handle}")),
+        handle: Some(handle),
+        role: Some(false),
+        source: Some(Source::default()),
+        target: target(address),
+        initial_delivery_count: Some(0),
+        ..Default::default()
+    };
+    server.put(attach(9, "reply/1/guessed"));
+    until!(server, Attach);
+    assert_eq!(until!(server, Detach).0.error.expect("why").condition, condition::NOT_FOUND);
+    server.put(attach(10, &address));
+    assert!(until!(server, Flow).0.link_credit > Some(0));
+    server.send(10, 0, &message(60_000, "k", b"reply"));
+    server.settle(request.delivery_id.expect("an id"), State::Accepted);
+    let (mut replied, mut answered) = (false, false);
+    while !(replied && answered) {
+        match client.next() {
+            (Performative::Transfer(transfer), payload) => {
+                assert!(payload.ends_with(b"reply"));
+                client.settle(transfer.delivery_id.expect("an id"), State::Accepted);
+                replied = true;
+            }
+            (Performative::Disposition(d), _) => {
+                assert_eq!(d.state, Some(State::Accepted));
+                answered = true;
+            }
+            _ => {}
+        }
+    }
+    let (d, _) = until!(server, Disposition);
+    assert_eq!((d.first, d.state), (Some(0), Some(State::Accepted)));
+    assert_eq!([bench.counter("taken"), bench.counter("served")], [1, 1]);
+}
--- /dev/null
+++ b/tests/amqp_sending.rs
@@ -0,0 +1,545 @@
+//! Stories of terminals that send: sizes, settlement, credit, and regions that misbehave.
+
+mod peers;
+
+use peers::*;
+use rstest::rstest;
+use sparbank_amqp::{
+    condition, Attach, Detach, Disposition, Flow, Source, State, Tag, Target, Terminus, Transfer,
+};
+use std::time::{Duration, Instant};
+
+const ON: &str = r#"{"listen":"127.0.0.1:0"}"#;
+const CLASS: &str = "live-readings";
+
+fn bench(regions: usize) -> Bench {
+    Bench::with((0..regions).map(|_| listener()).collect(), Some(ON))
+}
+
+fn client(bench: &Bench) -> AmqpPeer {
+    let mut client = AmqpPeer::client(bench.amqp.expect("the front is on"), None);
+    assert!(client.attach(CLASS).expect("the class is known") > 0);
+    client
+}
+
+fn answer(client: &mut AmqpPeer) -> State {
+    until!(client, Disposition).0.state.expect("a state")
+}
+
+/// Sends a delivery in parts of this size.
+fn deliver_in_parts(client: &mut AmqpPeer, id: u32, message: &[u8], part: usize) {
+    let count = message.len().div_ceil(part);
+    for (at, piece) in message.chunks(part).enumerate() {
+        let transfer = Transfer {
+            handle: Some(0),
+            delivery_id: Some(id),
+            delivery_tag: Tag::new(&id.to_be_bytes()),
+            more: Some(at + 1 < count),
+            ..Default::default()
+        };
+        client.put_kind(0, transfer.into(), piece);
+    }
+}
+
+/// A whole message, put together from its transfers.
+fn whole(server: &mut AmqpPeer) -> (u32, Vec<u8>) {
+    let (mut id, mut bytes) = (None, Vec::new());
+    loop {
+        let (transfer, payload) = until!(server, Transfer);
+        id = id.or(transfer.delivery_id);
+        bytes.extend(payload);
+        if transfer.more != Some(true) {
+            return (id.expect("an id"), bytes);
+        }
+    }
+}
+
+/// Regression: frames above 8 KiB were never taken, and the link hung without a word.
+#[rstest]
+#[case::just_above_the_read_ahead_of_text(8_193)]
+#[case::as_large_as_agreed(16_300)]
+fn a_frame_of_any_agreed_size_is_taken(#[case] size: usize) {
+    let bench = bench(1);
+    let mut client = client(&bench);
+    client.deliver(0, &message(5000, "7f3a", &vec![7; size]));
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 100, 65536);
+    server.link(10, 100);
+    let (id, bytes) = whole(&mut server);
+    assert!(bytes.len() > size);
+    server.settle(id, State::Accepted);
+    assert_eq!(answer(&mut client), State::Accepted);
+}
+
+#[rstest]
+fn a_region_without_sasl_is_met_again_without_it() {
+    let bench = bench(1);
+    let mut client = client(&bench);
+    client.deliver(0, &message(5000, "7f3a", b"reading"));
+    let mut server = AmqpPeer::server_without_sasl(&bench.regions[0], 100);
+    server.link(10, 100);
+    let (id, _) = whole(&mut server);
+    server.settle(id, State::Accepted);
+    assert_eq!(answer(&mut client), State::Accepted);
+    assert_eq!(value(&bench.stop(), "sent"), 1);
+}
+
+#[rstest]
+fn a_region_that_names_no_target_but_grants_credit_is_sent_to() {
+    let bench = bench(1);
+    let mut client = client(&bench);
+    client.deliver(0, &message(5000, "7f3a", b"reading"));
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 100, 65536);
+    let (attach, _) = until!(server, Attach);
+    server.put(Attach { name: attach.name, handle: Some(7), role: Some(true), ..Default::default() });
+    server.flow(10, 0, 100);
+    let (id, _) = whole(&mut server);
+    server.settle(id, State::Accepted);
+    assert_eq!(answer(&mut client), State::Accepted);
+}
+
+#[rstest]
+fn at_the_anonymous_terminus_each_message_names_its_class() {
+    let bench = bench(1);
+    let mut client = AmqpPeer::client(bench.amqp.expect("on"), None);
+    let target = Some(Terminus::Target(Target::default()));
+    let (name, initial_delivery_count) = (Some("any".to_string()), Some(0));
+    let attach = Attach {
+        name,
+        handle: Some(0),
+        role: Some(false),
+        target,
+        initial_delivery_count,
+        ..Default::default()
+    };
+    client.put(attach);
+    until!(client, Flow);
+    client.deliver(0, &addressed("nowhere", None, 5000, b"x"));
+    let State::Rejected(Some(error)) = answer(&mut client) else { panic!("rejected") };
+    assert_eq!(error.condition, condition::NOT_FOUND);
+    client.deliver(1, &addressed(CLASS, None, 5000, b"x"));
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 100, 65536);
+    server.link(10, 100);
+    let (id, _) = whole(&mut server);
+    server.settle(id, State::Accepted);
+    assert_eq!(answer(&mut client), State::Accepted);
+}
+
+#[rstest]
+fn a_large_message_goes_on_as_it_comes_and_is_never_held_whole() {
+    let on = r#"{"listen":"127.0.0.1:0","max_held":300000}"#;
+    let mut bench = Bench::with(vec![listener()], Some(on));
+    let mut client = client(&bench);
+    let body: Vec<u8> = (0..900_000u32).map(|n| (n ^ (n >> 9)) as u8).collect();
+    let sent = message(60_000, "7f3a", &body);
+    // The client writes from a thread of its own: the node reads on only as the region does.
+    let mut writer = client.try_clone();
+    let copy = sent.clone();
+    let writing = std::thread::spawn(move || deliver_in_parts(&mut writer, 0, &copy, 12_000));
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 10_000, 16_384);
+    server.link(10, 10_000);
+    let (id, bytes) = whole(&mut server);
+    writing.join().expect("all written");
+    assert!(bytes.ends_with(&body), "the body is unchanged");
+    server.settle(id, State::Accepted);
+    assert_eq!(answer(&mut client), State::Accepted);
+    bench.signal("-USR1");
+    let held = value(&bench.logged("amqp-counters"), "held_most");
+    assert!(held < 350_000, "{held} octets were held");
+}
+
+#[rstest]
+fn a_large_message_that_fails_half_way_is_tried_elsewhere_only_if_all_of_it_is_still_here() {
+    for (keep, tried) in [(1_000_000, 2), (10_000, 1)] {
+        let on = format!(r#"{{"listen":"127.0.0.1:0","keep":{keep}}}"#);
+        let bench = Bench::with((0..2).map(|_| listener()).collect(), Some(&on));
+        let mut client = client(&bench);
+        deliver_in_parts(&mut client, 0, &message(60_000, "7f3a", &vec![7; 200_000]), 10_000);
+        let (at, peer) = accept_any(&bench.regions);
+        let mut server = AmqpPeer::server(peer, 40, 4096);
+        server.link(10, 40);
+        for _ in 0..40 {
+            until!(server, Transfer);
+        }
+        drop(server);
+        if tried == 2 {
+            let mut other = AmqpPeer::server(Peer::accept(&bench.regions[1 - at]), 1000, 65536);
+            other.link(10, 1000);
+            let (id, _) = whole(&mut other);
+            other.settle(id, State::Accepted);
+            assert_eq!(answer(&mut client), State::Accepted);
+        } else {
+            assert!(matches!(answer(&mut client), State::Modified { failed: true, .. }));
+        }
+        let counters = bench.stop();
+        assert_eq!([value(&counters, "sent"), value(&counters, "task_connect_failed")], [tried, 1]);
+        assert_eq!(value(&counters, "taken"), value(&counters, "served") + value(&counters, "failed"));
+    }
+}
+
+#[rstest]
+#[case::by_going_away(false)]
+#[case::by_an_abort(true)]
+fn a_terminal_that_stops_mid_message_has_it_aborted_at_the_region(#[case] abort: bool) {
+    let mut bench = bench(1);
+    let mut client = client(&bench);
+    let sent = message(60_000, "7f3a", &[7; 60_000]);
+    let (handle, delivery_id) = (Some(0), Some(0));
+    let first = Transfer {
+        handle,
+        delivery_id,
+        delivery_tag: Tag::new(b"t"),
+        more: Some(true),
+        ..Default::default()
+    };
+    client.put_kind(0, first.into(), &sent[..12_000]);
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 100, 4096);
+    server.link(10, 100);
+    until!(server, Transfer);
+    if abort {
+        client.put(Transfer { handle, delivery_id, aborted: Some(true), ..Default::default() });
+    } else {
+        drop(client);
+    }
+    while until!(server, Transfer).0.aborted != Some(true) {}
+    assert_eq!([bench.counter("left"), bench.counter("served")], [1, 0]);
+}
+
+#[rstest]
+fn a_region_that_answers_before_the_last_frame_is_believed_and_the_rest_is_not_sent() {
+    let bench = bench(1);
+    let mut client = client(&bench);
+    let sent = message(60_000, "7f3a", &[7; 40_000]);
+    let (handle, delivery_id) = (Some(0), Some(0));
+    let tag = Tag::new(b"t");
+    let first = Transfer { handle, delivery_id, delivery_tag: tag, more: Some(true), ..Default::default() };
+    client.put_kind(0, first.into(), &sent[..12_000]);
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 100, 65_536);
+    server.link(10, 100);
+    let (transfer, _) = until!(server, Transfer);
+    server.settle(transfer.delivery_id.expect("an id"), State::Accepted);
+    assert_eq!(answer(&mut client), State::Accepted);
+    // What still comes of it belongs to no transaction; the link goes on.
+    let rest = Transfer { handle, delivery_id, more: Some(false), ..Default::default() };
+    client.put_kind(0, rest.into(), &sent[12_000..20_000]);
+    client.deliver(1, &message(60_000, "7f3a", b"next"));
+    while until!(server, Transfer).0.delivery_id == transfer.delivery_id {}
+    server.settle(1, State::Accepted);
+    assert_eq!(answer(&mut client), State::Accepted);
+    assert_eq!(value(&bench.stop(), "taken"), 2);
+}
+
+#[rstest]
+fn a_window_of_one_and_frames_of_512_octets_carry_a_message_of_any_size() {
+    let bench = bench(1);
+    let mut client = client(&bench);
+    let sent = message(60_000, "7f3a", &[9; 20_000]);
+    deliver_in_parts(&mut client, 0, &sent, 5000);
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 1, 512);
+    server.link(10, 1);
+    let (mut frames, mut size, mut id) = (0u32, 0, None);
+    loop {
+        let (transfer, payload) = until!(server, Transfer);
+        id = id.or(transfer.delivery_id);
+        size += payload.len();
+        frames += 1;
+        if transfer.more != Some(true) {
+            break;
+        }
+        server.put(Flow {
+            next_incoming_id: Some(frames),
+            incoming_window: Some(1),
+            next_outgoing_id: Some(0),
+            outgoing_window: Some(1),
+            ..Default::default()
+        });
+    }
+    assert!(size > 20_000 && frames > 40);
+    server.settle(id.expect("an id"), State::Accepted);
+    assert_eq!(answer(&mut client), State::Accepted);
+}
+
+#[rstest]
+fn one_credit_is_shared_by_a_hundred_terminals_in_turns() {
+    let bench = Bench::with_args(vec![listener()], Some(ON), &[], |text| {
+        text.replace(r#""sockets":256"#, r#""sockets":600"#)
+    });
+    let mut clients: Vec<AmqpPeer> = (0..100).map(|_| client(&bench)).collect();
+    for client in &mut clients {
+        client.deliver(0, &message(60_000, "7f3a", b"reading"));
+    }
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 1000, 65536);
+    server.link(1, 1000);
+    for count in 1..=100u32 {
+        let (id, _) = whole(&mut server);
+        server.settle(id, State::Accepted);
+        server.put(Flow {
+            next_incoming_id: Some(count),
+            incoming_window: Some(1000),
+            next_outgoing_id: Some(0),
+            outgoing_window: Some(1),
+            handle: Some(7),
+            delivery_count: Some(count),
+            link_credit: Some(1),
+            ..Default::default()
+        });
+    }
+    for client in &mut clients {
+        assert_eq!(answer(client), State::Accepted);
+    }
+    assert_eq!(value(&bench.stop(), "served"), 100);
+}
+
+#[rstest]
+fn a_long_message_holds_up_its_own_lane_and_no_other_terminal() {
+    let bench = bench(1);
+    let mut slow = client(&bench);
+    let sent = message(60_000, "7f3a", &[7; 30_000]);
+    let first = Transfer {
+        handle: Some(0),
+        delivery_id: Some(0),
+        delivery_tag: Tag::new(b"t"),
+        more: Some(true),
+        ..Default::default()
+    };
+    slow.put_kind(0, first.into(), &sent[..12_000]);
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 100, 65536);
+    server.link(10, 100);
+    until!(server, Transfer);
+    // The rest of it does not come. Another terminal's delivery opens a lane of its own.
+    let mut quick = client(&bench);
+    quick.deliver(0, &message(60_000, "7f3b", b"quick"));
+    let (attach, _) = until!(server, Attach);
+    let (name, target) = (attach.name, attach.target);
+    server.put(Attach { name, handle: Some(8), role: Some(true), target, ..Default::default() });
+    server.grant(8, 0, 10);
+    let (id, _) = whole(&mut server);
+    server.settle(id, State::Accepted);
+    assert_eq!(answer(&mut quick), State::Accepted);
+}
+
+#[rstest]
+fn a_delivery_that_its_sender_settled_is_a_transaction_without_an_answer() {
+    let mut bench = bench(1);
+    let mut client = client(&bench);
+    let transfer = Transfer {
+        handle: Some(0),
+        delivery_id: Some(0),
+        delivery_tag: Tag::new(b"t"),
+        settled: Some(true),
+        ..Default::default()
+    };
+    client.put_kind(0, transfer.into(), &message(60_000, "7f3a", b"settled"));
+    client.deliver(1, &message(60_000, "7f3a", b"not settled"));
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 100, 65536);
+    server.link(10, 100);
+    for _ in 0..2 {
+        let (id, _) = whole(&mut server);
+        server.settle(id, State::Accepted);
+    }
+    let (d, _) = until!(client, Disposition);
+    assert_eq!((d.first, d.last), (Some(1), None), "only the second is answered");
+    assert_eq!(bench.counter("served"), 2);
+}
+
+#[rstest]
+fn a_terminal_that_settles_second_is_answered_first_and_then_settles() {
+    let bench = bench(1);
+    let mut client = AmqpPeer::client(bench.amqp.expect("on"), None);
+    let target = Some(Terminus::Target(Target { address: Some(CLASS.into()), ..Default::default() }));
+    client.put(Attach {
+        name: Some("second".into()),
+        handle: Some(0),
+        role: Some(false),
+        rcv_settle_mode: Some(1),
+        target,
+        initial_delivery_count: Some(0),
+        ..Default::default()
+    });
+    assert_eq!(until!(client, Attach).0.rcv_settle_mode, Some(1));
+    client.deliver(0, &message(60_000, "7f3a", b"reading"));
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 100, 65536);
+    server.link(10, 100);
+    let (id, _) = whole(&mut server);
+    server.settle(id, State::Accepted);
+    let (d, _) = until!(client, Disposition);
+    assert_eq!((d.settled, d.state), (None, Some(State::Accepted)));
+    let (role, first, settled) = (Some(false), Some(0), Some(true));
+    client.put(Disposition { role, first, settled, ..Default::default() });
+    client.deliver(1, &message(60_000, "7f3a", b"the session goes on"));
+    let (id, _) = whole(&mut server);
+    server.settle(id, State::Accepted);
+    assert_eq!(until!(client, Disposition).0.first, Some(1));
+}
+
+#[rstest]
+fn answers_that_run_on_come_as_one_range() {
+    let bench = bench(1);
+    let mut client = client(&bench);
+    for id in 0..10 {
+        client.deliver(id, &message(60_000, "7f3a", b"reading"));
+    }
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 100, 65536);
+    server.link(10, 100);
+    let mut last = 0;
+    for _ in 0..10 {
+        last = whole(&mut server).0;
+    }
+    let (role, first, last, settled) = (Some(true), Some(0), Some(last), Some(true));
+    server.put(Disposition { role, first, last, settled, state: Some(State::Accepted), batchable: None });
+    let (d, _) = until!(client, Disposition);
+    assert_eq!((d.first, d.last, d.state), (Some(0), Some(9), Some(State::Accepted)));
+    assert_eq!(value(&bench.stop(), "served"), 10);
+}
+
+#[rstest]
+#[case::resource_limit(condition::RESOURCE_LIMIT_EXCEEDED)]
+#[case::detach_forced(condition::DETACH_FORCED)]
+#[case::redirect(condition::LINK_REDIRECT)]
+#[case::stolen(condition::STOLEN)]
+#[case::not_found(condition::NOT_FOUND)]
+#[case::unauthorized(condition::UNAUTHORIZED_ACCESS)]
+#[case::internal(condition::INTERNAL_ERROR)]
+#[case::not_implemented(condition::NOT_IMPLEMENTED)]
+fn a_region_that_refuses_the_link_never_ran_it_whatever_its_reason(#[case] reason: &str) {
+    let bench = bench(2);
+    let mut client = client(&bench);
+    client.deliver(0, &message(5000, "7f3a", b"reading"));
+    let (at, peer) = accept_any(&bench.regions);
+    let mut server = AmqpPeer::server(peer, 100, 65536);
+    let (attach, _) = until!(server, Attach);
+    server.put(Attach { name: attach.name, handle: Some(7), role: Some(true), ..Default::default() });
+    let error = Some(Box::new(sparbank_amqp::Error::new(reason, "no")));
+    server.put(Detach { handle: Some(7), closed: Some(true), error });
+    let mut other = AmqpPeer::server(Peer::accept(&bench.regions[1 - at]), 100, 65536);
+    other.link(10, 100);
+    let (id, _) = whole(&mut other);
+    other.settle(id, State::Accepted);
+    assert_eq!(answer(&mut client), State::Accepted);
+    let counters = bench.stop();
+    assert_eq!([value(&counters, "sent"), value(&counters, "task_connect_failed")], [2, 1]);
+}
+
+#[rstest]
+fn a_region_that_floods_or_breaks_the_protocol_is_left_and_the_delivery_goes_elsewhere() {
+    let mut bench = bench(2);
+    let mut client = client(&bench);
+    client.deliver(0, &message(5000, "7f3a", b"reading"));
+    let (at, peer) = accept_any(&bench.regions);
+    let mut server = AmqpPeer::server(peer, 100, 65536);
+    until!(server, Attach);
+    // Sends on a link that takes none.
+    let (handle, delivery_tag) = (Some(99), Tag::new(b"t"));
+    for id in 0..500 {
+        let transfer = Transfer { handle, delivery_id: Some(id), delivery_tag, ..Default::default() };
+        server.put_kind(0, transfer.into(), &[0; 100]);
+    }
+    let mut other = AmqpPeer::server(Peer::accept(&bench.regions[1 - at]), 100, 65536);
+    other.link(10, 100);
+    let (id, _) = whole(&mut other);
+    other.settle(id, State::Accepted);
+    assert_eq!(answer(&mut client), State::Accepted);
+    assert_eq!(bench.counter("sent"), 2);
+}
+
+#[rstest]
+fn flow_with_echo_is_answered_and_credit_comes_back_before_it_runs_out() {
+    let bench = bench(1);
+    let mut client = client(&bench);
+    client.put(Flow {
+        next_incoming_id: Some(0),
+        incoming_window: Some(100),
+        next_outgoing_id: Some(0),
+        outgoing_window: Some(100),
+        echo: Some(true),
+        ..Default::default()
+    });
+    let (flow, _) = until!(client, Flow);
+    assert_eq!((flow.handle, flow.next_incoming_id), (None, Some(0)));
+    for id in 0..40 {
+        client.deliver(id, &message(60_000, "7f3a", b"reading"));
+    }
+    let (flow, _) = until!(client, Flow);
+    assert!(flow.delivery_count >= Some(32) && flow.link_credit >= Some(32));
+}
+
+#[rstest]
+fn a_coordinator_of_transactions_is_declined_cleanly() {
+    let bench = bench(1);
+    let mut client = AmqpPeer::client(bench.amqp.expect("on"), None);
+    let (name, initial_delivery_count) = (Some("tx".to_string()), Some(0));
+    let target = Some(Terminus::Coordinator);
+    client.put(Attach {
+        name,
+        handle: Some(3),
+        role: Some(false),
+        source: Some(Source::default()),
+        target,
+        initial_delivery_count,
+        ..Default::default()
+    });
+    assert_eq!(until!(client, Attach).0.target, None);
+    let (detach, _) = until!(client, Detach);
+    assert_eq!(detach.error.expect("why").condition, condition::NOT_IMPLEMENTED);
+    client.put(Detach { handle: Some(3), closed: Some(true), error: None });
+    assert!(client.attach(CLASS).expect("the connection goes on") > 0);
+}
+
+#[rstest]
+fn links_sessions_and_connections_are_bounded_by_their_settings() {
+    let on = r#"{"listen":"127.0.0.1:0","max_links":3,"channel_max":1,"peer_connections":2}"#;
+    let bench = Bench::with(vec![listener()], Some(on));
+    let addr = bench.amqp.expect("on");
+    let mut client = AmqpPeer::client(addr, None);
+    let target = Some(Terminus::Target(Target { address: Some(CLASS.into()), ..Default::default() }));
+    for handle in 0..4 {
+        let (name, initial_delivery_count) = (Some(format!("l{handle}")), Some(0));
+        let (handle, role, target) = (Some(handle), Some(false), target.clone());
+        client.put(Attach { name, handle, role, target, initial_delivery_count, ..Default::default() });
+    }
+    let (detach, _) = until!(client, Detach);
+    assert_eq!(detach.error.expect("why").condition, condition::RESOURCE_LIMIT_EXCEEDED);
+    let mut second = AmqpPeer::client(addr, None);
+    // A third connection from this address is closed at once.
+    Peer::connect(addr).say("AMQP").ends();
+    // A channel above the highest agreed one is a framing error (2.4.1).
+    let begin = sparbank_amqp::Begin {
+        next_outgoing_id: Some(0),
+        incoming_window: Some(1),
+        outgoing_window: Some(1),
+        ..Default::default()
+    };
+    second.put_on(2, begin);
+    assert_eq!(until!(second, Close).0.error.expect("why").condition, condition::FRAMING_ERROR);
+    assert_eq!(value(&bench.stop(), "over_budget"), 1);
+}
+
+#[rstest]
+fn bad_clients_get_an_error_or_a_close_within_three_seconds_and_harm_nobody() {
+    let bench = bench(1);
+    let addr = bench.amqp.expect("on");
+    let mut usual = client(&bench);
+    let started = Instant::now();
+    let bad: [&[u8]; 8] = [
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"AMQP\x02\x01\x00\x00",
+        b"AMQP\x00\x01\x00\x00\xff\xff\xff\xff\x02\x00\x00\x00",
+        b"AMQP\x00\x01\x00\x00\x00\x00\x00\x04\x02\x00\x00\x00",
+        b"AMQP\x00\x01\x00\x00\x00\x00\x00\x0c\x02\x00\x00\x00\xde\xad\xbe\xef",
+        b"AMQP\x03\x01\x00\x00\x00\x00\x00\x0c\x02\x01\x00\x00\xde\xad\xbe\xef",
+        b"AMQP\x00\x01\x00\x00\x00\x00\x00\x10\x02\x00\x00\x00\x00\x53\x14\xc0\x03\x01\x43\x00",
+        b"OPEN 9b1f 7f3a c=live-readings\r\n",
+    ];
+    for bytes in bad {
+        let mut peer = Peer::connect(addr);
+        // It may be closed before all is written.
+        let _ = std::io::Write::write_all(&mut peer.stream, bytes);
+        peer.drains(Duration::from_secs(3));
+    }
+    assert!(started.elapsed() < Duration::from_secs(10), "none of them waited out its time");
+    usual.deliver(0, &message(60_000, "7f3a", b"reading"));
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 100, 65536);
+    server.link(10, 100);
+    let (id, _) = whole(&mut server);
+    server.settle(id, State::Accepted);
+    assert_eq!(answer(&mut usual), State::Accepted);
+}
--- /dev/null
+++ b/tests/peers/amqp.rs
@@ -0,0 +1,311 @@
+//! AMQP stand-ins: a client or a server that says what a test has it say, frame by frame.
+
+use super::Peer;
+use sparbank_amqp as amqp;
+use sparbank_amqp::{Attach, Performative, Source, State, Target, Terminus, Value};
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+
+/// One end of an AMQP connection, past its handshake, with one session on channel 0.
+pub struct AmqpPeer {
+    pub peer: Peer,
+    bytes: Vec<u8>,
+}
+
+/// What comes next.
+pub enum Next {
+    Heartbeat,
+    Body(Box<Performative>, Vec<u8>),
+    Ended,
+}
+
+/// Reads frames until one of this kind comes.
+#[macro_export]
+macro_rules! until {
+    ($peer:expr, $kind:ident) => {
+        loop {
+            if let (sparbank_amqp::Performative::$kind(body), payload) = $peer.next() {
+                break (body, payload);
+            }
+        }
+    };
+}
+
+impl AmqpPeer {
+    fn shake(peer: Peer, header: &[u8; 8]) -> AmqpPeer {
+        let mut this = AmqpPeer { peer, bytes: Vec::new() };
+        this.header(header);
+        this
+    }
+
+    fn header(&mut self, header: &[u8; 8]) {
+        std::io::Write::write_all(&mut self.peer.stream, header).expect("written");
+        let mut theirs = [0; 8];
+        self.peer.read_exact(&mut theirs);
+        assert_eq!(&theirs, header);
+    }
+
+    /// A client of the node's.
+    pub fn client(addr: SocketAddr, idle_ms: Option<u32>) -> AmqpPeer {
+        let mut this = AmqpPeer::opened(addr, "client", idle_ms);
+        this.begin(None, 100);
+        until!(this, Begin);
+        this
+    }
+
+    /// A client of the node's that calls itself this, without a session.
+    pub fn opened(addr: SocketAddr, container: &str, idle_ms: Option<u32>) -> AmqpPeer {
+        let mut this = AmqpPeer::known(addr, "ANONYMOUS", b"").expect("the unnamed may come in");
+        this.open(container, idle_ms, u32::MAX);
+        until!(this, Open);
+        this
+    }
+
+    /// A client that has made itself known by this mechanism, up to the AMQP header; the outcome's code
+    /// where it is refused.
+    pub fn known(addr: SocketAddr, mechanism: &str, response: &[u8]) -> Result<AmqpPeer, u8> {
+        let mut this = AmqpPeer::shake(Peer::connect(addr), b"AMQP\x03\x01\x00\x00");
+        until!(this, SaslMechanisms);
+        let mechanism = Some(amqp::Symbol(mechanism.into()));
+        let initial_response = Some(response.to_vec());
+        let init = amqp::SaslInit { mechanism, initial_response, hostname: None };
+        this.put_kind(amqp::SASL, init.into(), &[]);
+        match until!(this, SaslOutcome).0.code {
+            Some(0) => {}
+            code => return Err(code.expect("a code")),
+        }
+        this.header(b"AMQP\x00\x01\x00\x00");
+        Ok(this)
+    }
+
+    /// Says open.
+    pub fn open(&mut self, container: &str, idle_ms: Option<u32>, max_frame: u32) {
+        let container_id = Some(container.to_string());
+        let max_frame_size = Some(max_frame);
+        self.put(amqp::Open { container_id, idle_time_out: idle_ms, max_frame_size, ..Default::default() });
+    }
+
+    /// A server that a region's node connects to. It takes this many frames ahead.
+    pub fn server(peer: Peer, window: u32, max_frame: u32) -> AmqpPeer {
+        let mut this = AmqpPeer::shake(peer, b"AMQP\x03\x01\x00\x00");
+        let mechanisms = Some(Value::Array(vec![Value::Symbol("ANONYMOUS".into())]));
+        this.put_kind(amqp::SASL, amqp::SaslMechanisms { mechanisms }.into(), &[]);
+        until!(this, SaslInit);
+        this.put_kind(amqp::SASL, amqp::SaslOutcome { code: Some(0), additional_data: None }.into(), &[]);
+        this.header(b"AMQP\x00\x01\x00\x00");
+        this.serve(window, max_frame)
+    }
+
+    /// A server without SASL: it says so to the first connection and is met on the next.
+    pub fn server_without_sasl(listener: &std::net::TcpListener, window: u32) -> AmqpPeer {
+        let mut first = Peer::accept(listener);
+        let mut theirs = [0; 8];
+        first.read_exact(&mut theirs);
+        assert_eq!(&theirs, b"AMQP\x03\x01\x00\x00");
+        first.stream.write_all(b"AMQP\x00\x01\x00\x00").expect("written");
+        drop(first);
+        AmqpPeer::shake(Peer::accept(listener), b"AMQP\x00\x01\x00\x00").serve(window, 4096)
+    }
+
+    fn serve(mut self, window: u32, max_frame: u32) -> AmqpPeer {
+        until!(self, Open);
+        self.open("server", None, max_frame);
+        until!(self, Begin);
+        self.begin(Some(0), window);
+        self
+    }
+
+    pub fn begin(&mut self, remote_channel: Option<u16>, window: u32) {
+        let (next_outgoing_id, outgoing_window) = (Some(0), Some(100));
+        let incoming_window = Some(window);
+        let begin = amqp::Begin {
+            remote_channel,
+            next_outgoing_id,
+            incoming_window,
+            outgoing_window,
+            ..Default::default()
+        };
+        self.put(begin);
+    }
+
+    pub fn put(&mut self, body: impl Into<Performative>) {
+        self.put_kind(amqp::AMQP, body.into(), &[]);
+    }
+
+    /// On another channel than the first.
+    pub fn put_on(&mut self, channel: u16, body: impl Into<Performative>) {
+        let mut out = Vec::new();
+        amqp::put_frame(&mut out, amqp::AMQP, channel, Some(&body.into()), &[]);
+        self.peer.stream.write_all(&out).expect("written");
+    }
+
+    /// A second handle, to write from another thread.
+    pub fn try_clone(&self) -> AmqpPeer {
+        let stream = self.peer.stream.try_clone().expect("a second handle");
+        AmqpPeer { peer: Peer::new(stream), bytes: Vec::new() }
+    }
+
+    pub fn put_kind(&mut self, kind: u8, body: Performative, payload: &[u8]) {
+        let mut out = Vec::new();
+        amqp::put_frame(&mut out, kind, 0, Some(&body), payload);
+        self.peer.stream.write_all(&out).expect("written");
+    }
+
+    pub fn frame(&mut self) -> Next {
+        loop {
+            let mut left = &self.bytes[..];
+            if let Some(frame) = amqp::take_frame(&mut left, u32::MAX).expect("a sound frame") {
+                let (body, payload) = (frame.body, frame.payload.to_vec());
+                let taken = self.bytes.len() - left.len();
+                self.bytes.drain(..taken);
+                return body.map_or(Next::Heartbeat, |body| Next::Body(Box::new(body), payload));
+            }
+            let mut chunk = [0; 4096];
+            // A connection that ends, politely or not, ends the stand-in's part.
+            let count = self.peer.reader.read(&mut chunk).unwrap_or(0);
+            if count == 0 {
+                return Next::Ended;
+            }
+            self.bytes.extend(&chunk[..count]);
+        }
+    }
+
+    pub fn next(&mut self) -> (Performative, Vec<u8>) {
+        loop {
+            match self.frame() {
+                Next::Body(body, payload) => return (*body, payload),
+                Next::Heartbeat => {}
+                Next::Ended => panic!("the connection ended"),
+            }
+        }
+    }
+
+    /// Attaches a sending link to this address and waits for credit or a detach.
+    pub fn attach(&mut self, address: &str) -> Result<u32, amqp::Detach> {
+        let address = Some(address.to_string());
+        let target = Some(Terminus::Target(Target { address, ..Default::default() }));
+        let (name, handle, role) = (Some("link".to_string()), Some(0), Some(false));
+        let count = Some(0);
+        let attach =
+            amqp::Attach { name, handle, role, target, initial_delivery_count: count, ..Default::default() };
+        self.put(attach);
+        loop {
+            match self.next().0 {
+                Performative::Flow(flow) => return Ok(flow.link_credit.expect("credit")),
+                Performative::Detach(detach) => return Err(detach),
+                _ => {}
+            }
+        }
+    }
+
+    /// Attaches a receiving link from this source and gives what the node answers.
+    pub fn receive(&mut self, handle: u32, source: Source) -> Result<Attach, amqp::Detach> {
+        let (name, role) = (Some(format!("from-{handle}")), Some(true));
+        let (source, target) = (Some(source), Some(Terminus::Target(Target::default())));
+        let handle = Some(handle);
+        self.put(Attach { name, handle, role, source, target, ..Default::default() });
+        let (attach, _) = until!(self, Attach);
+        if attach.source.is_some() {
+            return Ok(*attach);
+        }
+        Err(until!(self, Detach).0)
+    }
+
+    /// Grants credit on a link of the client's own.
+    pub fn grant(&mut self, handle: u32, count: u32, credit: u32) {
+        self.put(amqp::Flow {
+            next_incoming_id: Some(0),
+            incoming_window: Some(1000),
+            next_outgoing_id: Some(0),
+            outgoing_window: Some(100),
+            handle: Some(handle),
+            delivery_count: Some(count),
+            link_credit: Some(credit),
+            ..Default::default()
+        });
+    }
+
+    /// Accepts the node's receiving link, as a server that sends on it at this handle.
+    pub fn source(&mut self, handle: u32) -> Attach {
+        let (attach, _) = until!(self, Attach);
+        assert_eq!(attach.role, Some(true), "the node receives");
+        self.put(Attach {
+            name: attach.name.clone(),
+            handle: Some(handle),
+            role: Some(false),
+            source: attach.source.clone(),
+            target: attach.target.clone(),
+            initial_delivery_count: Some(0),
+            ..Default::default()
+        });
+        *attach
+    }
+
+    /// Sends a whole delivery on a link.
+    pub fn send(&mut self, handle: u32, id: u32, message: &[u8]) {
+        let (handle, delivery_tag) = (Some(handle), amqp::Tag::new(&id.to_be_bytes()));
+        let transfer = amqp::Transfer { handle, delivery_id: Some(id), delivery_tag, ..Default::default() };
+        self.put_kind(amqp::AMQP, transfer.into(), message);
+    }
+
+    /// Sends a whole delivery.
+    pub fn deliver(&mut self, id: u32, message: &[u8]) {
+        let (handle, delivery_id, delivery_tag) = (Some(0), Some(id), amqp::Tag::new(&[id as u8]));
+        let transfer = amqp::Transfer { handle, delivery_id, delivery_tag, ..Default::default() };
+        self.put_kind(amqp::AMQP, transfer.into(), message);
+    }
+
+    /// Accepts the node's link and gives it credit, and room for this many frames.
+    pub fn link(&mut self, credit: u32, window: u32) {
+        let (attach, _) = until!(self, Attach);
+        let (name, handle, target) = (attach.name, Some(7), attach.target);
+        self.put(amqp::Attach { name, handle, role: Some(true), target, ..Default::default() });
+        self.flow(credit, 0, window);
+    }
+
+    /// Credit on the node's link, and room for frames.
+    pub fn flow(&mut self, credit: u32, next_incoming: u32, window: u32) {
+        self.put(amqp::Flow {
+            next_incoming_id: Some(next_incoming),
+            incoming_window: Some(window),
+            next_outgoing_id: Some(0),
+            outgoing_window: Some(100),
+            handle: Some(7),
+            delivery_count: Some(0),
+            link_credit: Some(credit),
+            ..Default::default()
+        });
+    }
+
+    /// Settles a delivery of the node's with this state.
+    pub fn settle(&mut self, id: u32, state: State) {
+        let (role, first, settled) = (Some(true), Some(id), Some(true));
+        self.put(amqp::Disposition { role, first, settled, state: Some(state), ..Default::default() });
+    }
+}
+
+/// A message for the node of this name, with a time to live and a place for replies.
+pub fn addressed(to: &str, reply_to: Option<&str>, ttl: u32, body: &[u8]) -> Vec<u8> {
+    let mut out = Vec::new();
+    let header = vec![Value::Bool(false), Value::Null, Value::Uint(ttl)];
+    amqp::encode(&Value::composite(0x70, header), &mut out);
+    let reply = reply_to.map_or(Value::Null, Value::text);
+    amqp::encode(
+        &Value::composite(0x73, vec![Value::Null, Value::Null, Value::text(to), Value::Null, reply]),
+        &mut out,
+    );
+    amqp::encode(&Value::described(0x75, Value::Binary(body.to_vec())), &mut out);
+    out
+}
+
+/// A message with a time to live and a key.
+pub fn message(ttl: u32, key: &str, body: &[u8]) -> Vec<u8> {
+    let section = |code: u64, value: Value| Value::Described(Box::new(Value::Ulong(code)), Box::new(value));
+    let mut out = Vec::new();
+    let header = vec![Value::Bool(true), Value::Null, Value::Uint(ttl)];
+    amqp::encode(&section(0x70, Value::List(header)), &mut out);
+    let key = (Value::Text("key".into()), Value::Text(key.into()));
+    amqp::encode(&section(0x74, Value::Map(vec![key])), &mut out);
+    amqp::encode(&section(0x75, Value::Binary(body.to_vec())), &mut out);
+    out
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -2,6 +2,11 @@
 //! on an event; the time-out only ends a test that has gone wrong.
 #![allow(dead_code)]
 
+mod amqp;
+
+#[allow(unused_imports)]
+pub use amqp::*;
+
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -53,6 +58,16 @@
         self.reader.read_exact(bytes).expect("more bytes");
     }
 
+    /// Reads whatever comes until the connection ends, which must be within this time.
+    pub fn drains(&mut self, within: Duration) {
+        let until = Instant::now() + within;
+        let mut chunk = [0; 4096];
+        while matches!(self.reader.read(&mut chunk), Ok(count) if count > 0) {
+            assert!(Instant::now() < until, "it goes on");
+        }
+        assert!(Instant::now() < until, "it was left open");
+    }
+
     pub fn ends(&mut self) {
         assert_eq!(self.line(), "", "the connection ends");
     }
@@ -275,6 +290,13 @@
 
 impl Drop for Bench {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            // What the node had to say of it.
+            let _ = self.child.kill();
+            let mut log = String::new();
+            let _ = self.log.read_to_string(&mut log);
+            eprintln!("the node's log:\n{log}");
+        }
         // It may have ended already.
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -291,197 +313,3 @@
     let at = line.split("listen=").nth(1).expect("an address in the log");
     at.parse().expect("an address")
 }
-
-// ---- AMQP stand-ins ------------------------------------------------------------------------------
-
-use sparbank_amqp as amqp;
-use sparbank_amqp::{Performative, State, Target, Terminus, Value};
-
-/// One end of an AMQP connection, past its handshake, with one session on channel 0.
-pub struct AmqpPeer {
-    pub peer: Peer,
-    bytes: Vec<u8>,
-}
-
-/// What comes next.
-pub enum Next {
-    Heartbeat,
-    Body(Box<Performative>, Vec<u8>),
-    Ended,
-}
-
-/// Reads frames until one of this kind comes.
-#[macro_export]
-macro_rules! until {
-    ($peer:expr, $kind:ident) => {
-        loop {
-            if let (sparbank_amqp::Performative::$kind(body), payload) = $peer.next() {
-                break (body, payload);
-            }
-        }
-    };
-}
-
-impl AmqpPeer {
-    fn shake(peer: Peer, header: &[u8; 8]) -> AmqpPeer {
-        let mut this = AmqpPeer { peer, bytes: Vec::new() };
-        this.header(header);
-        this
-    }
-
-    fn header(&mut self, header: &[u8; 8]) {
-        std::io::Write::write_all(&mut self.peer.stream, header).expect("written");
-        let mut theirs = [0; 8];
-        self.peer.read_exact(&mut theirs);
-        assert_eq!(&theirs, header);
-    }
-
-    /// A client of the node's.
-    pub fn client(addr: SocketAddr, idle_ms: Option<u32>) -> AmqpPeer {
-        let mut this = AmqpPeer::shake(Peer::connect(addr), b"AMQP\x03\x01\x00\x00");
-        until!(this, SaslMechanisms);
-        let mechanism = Some(amqp::Symbol("ANONYMOUS".into()));
-        this.put_kind(amqp::SASL, amqp::SaslInit { mechanism, ..Default::default() }.into(), &[]);
-        assert_eq!(until!(this, SaslOutcome).0.code, Some(0));
-        this.header(b"AMQP\x00\x01\x00\x00");
-        let container_id = Some("client".to_string());
-        this.put(amqp::Open { container_id, idle_time_out: idle_ms, ..Default::default() });
-        until!(this, Open);
-        this.begin(None, 100);
-        until!(this, Begin);
-        this
-    }
-
-    /// A server that a region's node connects to. It takes this many frames ahead.
-    pub fn server(peer: Peer, window: u32, max_frame: u32) -> AmqpPeer {
-        let mut this = AmqpPeer::shake(peer, b"AMQP\x03\x01\x00\x00");
-        let mechanisms = Some(Value::Array(vec![Value::Symbol("ANONYMOUS".into())]));
-        this.put_kind(amqp::SASL, amqp::SaslMechanisms { mechanisms }.into(), &[]);
-        until!(this, SaslInit);
-        this.put_kind(amqp::SASL, amqp::SaslOutcome { code: Some(0), additional_data: None }.into(), &[]);
-        this.header(b"AMQP\x00\x01\x00\x00");
-        until!(this, Open);
-        let container_id = Some("server".to_string());
-        this.put(amqp::Open { container_id, max_frame_size: Some(max_frame), ..Default::default() });
-        until!(this, Begin);
-        this.begin(Some(0), window);
-        this
-    }
-
-    fn begin(&mut self, remote_channel: Option<u16>, window: u32) {
-        let (next_outgoing_id, outgoing_window) = (Some(0), Some(100));
-        let incoming_window = Some(window);
-        let begin = amqp::Begin {
-            remote_channel,
-            next_outgoing_id,
-            incoming_window,
-            outgoing_window,
-            ..Default::default()
-        };
-        self.put(begin);
-    }
-
-    pub fn put(&mut self, body: impl Into<Performative>) {
-        self.put_kind(amqp::AMQP, body.into(), &[]);
-    }
-
-    pub fn put_kind(&mut self, kind: u8, body: Performative, payload: &[u8]) {
-        let mut out = Vec::new();
-        amqp::put_frame(&mut out, kind, 0, Some(&body), payload);
-        self.peer.stream.write_all(&out).expect("written");
-    }
-
-    pub fn frame(&mut self) -> Next {
-        loop {
-            let mut left = &self.bytes[..];
-            if let Some(frame) = amqp::take_frame(&mut left, u32::MAX).expect("a sound frame") {
-                let (body, payload) = (frame.body, frame.payload.to_vec());
-                let taken = self.bytes.len() - left.len();
-                self.bytes.drain(..taken);
-                return body.map_or(Next::Heartbeat, |body| Next::Body(Box::new(body), payload));
-            }
-            let mut chunk = [0; 4096];
-            // A connection that ends, politely or not, ends the stand-in's part.
-            let count = self.peer.reader.read(&mut chunk).unwrap_or(0);
-            if count == 0 {
-                return Next::Ended;
-            }
-            self.bytes.extend(&chunk[..count]);
-        }
-    }
-
-    pub fn next(&mut self) -> (Performative, Vec<u8>) {
-        loop {
-            match self.frame() {
-                Next::Body(body, payload) => return (*body, payload),
-                Next::Heartbeat => {}
-                Next::Ended => panic!("the connection ended"),
-            }
-        }
-    }
-
-    /// Attaches a sending link to this address and waits for credit or a detach.
-    pub fn attach(&mut self, address: &str) -> Result<u32, amqp::Detach> {
-        let address = Some(address.to_string());
-        let target = Some(Terminus::Target(Target { address, ..Default::default() }));
-        let (name, handle, role) = (Some("link".to_string()), Some(0), Some(false));
-        let count = Some(0);
-        let attach =
-            amqp::Attach { name, handle, role, target, initial_delivery_count: count, ..Default::default() };
-        self.put(attach);
-        loop {
-            match self.next().0 {
-                Performative::Flow(flow) => return Ok(flow.link_credit.expect("credit")),
-                Performative::Detach(detach) => return Err(detach),
-                _ => {}
-            }
-        }
-    }
-
-    /// Sends a whole delivery.
-    pub fn deliver(&mut self, id: u32, message: &[u8]) {
-        let (handle, delivery_id, delivery_tag) = (Some(0), Some(id), amqp::Tag::new(&[id as u8]));
-        let transfer = amqp::Transfer { handle, delivery_id, delivery_tag, ..Default::default() };
-        self.put_kind(amqp::AMQP, transfer.into(), message);
-    }
-
-    /// Accepts the node's link and gives it credit, and room for this many frames.
-    pub fn link(&mut self, credit: u32, window: u32) {
-        let (attach, _) = until!(self, Attach);
-        let (name, handle, target) = (attach.name, Some(7), attach.target);
-        self.put(amqp::Attach { name, handle, role: Some(true), target, ..Default::default() });
-        self.flow(credit, 0, window);
-    }
-
-    /// Credit on the node's link, and room for frames.
-    pub fn flow(&mut self, credit: u32, next_incoming: u32, window: u32) {
-        self.put(amqp::Flow {
-            next_incoming_id: Some(next_incoming),
-            incoming_window: Some(window),
-            next_outgoing_id: Some(0),
-            outgoing_window: Some(100),
-            handle: Some(7),
-            delivery_count: Some(0),
-            link_credit: Some(credit),
-            ..Default::default()
-        });
-    }
-
-    /// Settles a delivery of the node's with this state.
-    pub fn settle(&mut self, id: u32, state: State) {
-        let (role, first, settled) = (Some(true), Some(id), Some(true));
-        self.put(amqp::Disposition { role, first, settled, state: Some(state), ..Default::default() });
-    }
-}
-
-/// A message with a time to live and a key.
-pub fn message(ttl: u32, key: &str, body: &[u8]) -> Vec<u8> {
-    let section = |code: u64, value: Value| Value::Described(Box::new(Value::Ulong(code)), Box::new(value));
-    let mut out = Vec::new();
-    let header = vec![Value::Bool(true), Value::Null, Value::Uint(ttl)];
-    amqp::encode(&section(0x70, Value::List(header)), &mut out);
-    let key = (Value::Text("key".into()), Value::Text(key.into()));
-    amqp::encode(&section(0x74, Value::Map(vec![key])), &mut out);
-    amqp::encode(&section(0x75, Value::Binary(body.to_vec())), &mut out);
-    out
-}
