--- a/src/balance.rs
+++ b/src/balance.rs
@@ -8,7 +8,8 @@
 use crate::random::{below, mix, unit};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet};
 
 type Out<'a> = &'a mut Vec<Action>;
 
@@ -87,7 +88,7 @@
     born: Nanos,
     status: Status,
     /// This relay's own attempts and connections there.
-    held: Vec<RequestId>,
+    held: BTreeSet<RequestId>,
     /// How many of each group are among them.
     groups: BTreeMap<u64, u32>,
     /// The last note of delay, which holds until a time; after that it is paced until another.
@@ -341,7 +342,7 @@
     fn hold(&mut self, server: ServerId, id: RequestId) {
         let group = self.requests.get(&id).and_then(|r| r.group);
         if let Some(s) = self.servers.get_mut(server.0 as usize) {
-            s.held.push(id);
+            s.held.insert(id);
             if let Some(group) = group {
                 *s.groups.entry(group).or_default() += 1;
             }
@@ -353,12 +354,13 @@
     fn let_go(&mut self, server: ServerId, id: RequestId) {
         let group = self.requests.get(&id).and_then(|r| r.group);
         let Some(s) = self.servers.get_mut(server.0 as usize) else { return };
-        if let Some(at) = s.held.iter().position(|held| *held == id) {
-            s.held.swap_remove(at);
+        if s.held.remove(&id) {
             self.open -= 1;
-            if let Some(count) = group.and_then(|group| s.groups.get_mut(&group)) {
-                *count -= 1;
-                s.groups.retain(|_, count| *count > 0);
+            if let Some(Entry::Occupied(mut count)) = group.map(|group| s.groups.entry(group)) {
+                *count.get_mut() -= 1;
+                if *count.get() == 0 {
+                    count.remove();
+                }
             }
         }
     }
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -280,15 +280,29 @@
     }
 
     /// Sends bytes, at once as far as the peer takes them.
-    pub fn send(&mut self, token: Token, bytes: &[u8]) {
+    pub fn send(&mut self, token: Token, mut bytes: &[u8]) {
         let Some(socket) = self.get(token) else { return };
         if socket.finish || socket.stage == Stage::Broken {
             return;
         }
-        let waiting = !socket.output.is_empty();
+        let mut broken = false;
+        // Straight from where they are, while nothing waits before them.
+        while !bytes.is_empty() && socket.output.is_empty() && socket.stage == Stage::Open {
+            match write(&socket.fd, bytes) {
+                Ok(count) => {
+                    socket.written += count as u64;
+                    bytes = &bytes[count..];
+                }
+                Err(Errno::INTR) => {}
+                Err(error) => {
+                    broken = error != Errno::AGAIN;
+                    break;
+                }
+            }
+        }
         socket.output.extend_from_slice(bytes);
-        if !waiting && socket.stage == Stage::Open {
-            self.flush(token, false);
+        if broken {
+            return self.broken(token);
         }
         self.rearm(token);
     }
