--- /dev/null
+++ b/tests/amqp_conformance.rs
@@ -0,0 +1,413 @@
+//! Sentences of the standard (OASIS AMQP 1.0) that bind this node, each driven through real sockets.
+//! `docs/AMQP-CONFORMANCE.md` lists them all with their sections; here are those that no story shows.
+
+mod peers;
+
+use peers::*;
+use rstest::rstest;
+use sparbank_amqp::{
+    condition, encode, Attach, Begin, Close, Composite, Detach, Disposition, End, Flow, Open, Performative,
+    State, Target, Terminus, Transfer, Value,
+};
+
+const ON: &str = r#"{"listen":"127.0.0.1:0"}"#;
+const CLASS: &str = "live-readings";
+
+fn bench(on: &str) -> Bench {
+    Bench::with(vec![listener()], Some(on))
+}
+
+fn client(bench: &Bench) -> AmqpPeer {
+    AmqpPeer::client(bench.amqp.expect("the front is on"), None)
+}
+
+fn attach(name: &str, handle: u32) -> Attach {
+    let target = Target { address: Some(CLASS.into()), ..Default::default() };
+    Attach {
+        name: Some(name.into()),
+        handle: Some(handle),
+        role: Some(false),
+        target: Some(Terminus::Target(target)),
+        initial_delivery_count: Some(0),
+        ..Default::default()
+    }
+}
+
+fn begin() -> Begin {
+    Begin {
+        next_outgoing_id: Some(0),
+        incoming_window: Some(100),
+        outgoing_window: Some(100),
+        ..Default::default()
+    }
+}
+
+/// What the node closes the connection with.
+fn closed(client: &mut AmqpPeer) -> String {
+    let error = until!(client, Close).0.error.expect("why");
+    client.peer.ends();
+    error.condition
+}
+
+fn frame(channel: u16, body: impl Into<Performative>) -> Vec<u8> {
+    let mut out = Vec::new();
+    sparbank_amqp::put_frame(&mut out, 0, channel, Some(&body.into()), &[]);
+    out
+}
+
+/// A transfer whose tag is one octet longer than tags may be (2.8.7).
+fn tag_of_33_octets() -> Vec<u8> {
+    let mut out = Vec::new();
+    let fields = vec![Value::Uint(0), Value::Uint(0), Value::Binary(vec![7; 33])];
+    let write = |out: &mut Vec<u8>| encode(&Value::composite(0x14, fields), out);
+    sparbank_amqp::put_raw(&mut out, 0, 0, write, &[]);
+    out
+}
+
+#[rstest]
+#[case::another_version(b"AMQP\x00\x02\x00\x00")]
+#[case::tls(b"AMQP\x02\x01\x00\x00")]
+#[case::another_protocol(b"HTTP/1.1")]
+fn a_header_that_is_not_spoken_is_answered_with_one_that_is(#[case] header: &[u8]) {
+    let bench = bench(ON);
+    let mut peer = Peer::connect(bench.amqp.expect("on"));
+    std::io::Write::write_all(&mut peer.stream, header).expect("written");
+    let mut answer = [0; 8];
+    peer.read_exact(&mut answer);
+    assert_eq!(&answer, b"AMQP\x00\x01\x00\x00");
+    peer.ends();
+}
+
+#[rstest]
+fn an_extended_frame_header_is_skipped() {
+    let bench = bench(ON);
+    let mut client = AmqpPeer::known(bench.amqp.expect("on"), "ANONYMOUS", b"").expect("in");
+    let mut open = frame(0, Open { container_id: Some("c".into()), ..Default::default() });
+    open.splice(8..8, [0xde, 0xad, 0xbe, 0xef]);
+    open[4] = 3;
+    open[3] += 4;
+    std::io::Write::write_all(&mut client.peer.stream, &open).expect("written");
+    until!(client, Open);
+}
+
+#[rstest]
+fn all_that_a_client_may_say_ahead_is_taken_in_one_go() {
+    let bench = bench(ON);
+    let mut client = AmqpPeer::known(bench.amqp.expect("on"), "ANONYMOUS", b"").expect("in");
+    let mut bytes = frame(0, Open { container_id: Some("c".into()), ..Default::default() });
+    bytes.extend(frame(0, begin()));
+    bytes.extend(frame(0, attach("l", 0)));
+    std::io::Write::write_all(&mut client.peer.stream, &bytes).expect("written");
+    until!(client, Open);
+    until!(client, Begin);
+    until!(client, Attach);
+    assert!(until!(client, Flow).0.link_credit > Some(0));
+}
+
+#[rstest]
+fn performatives_by_their_symbolic_descriptors_are_read() {
+    let bench = bench(ON);
+    let mut client = AmqpPeer::known(bench.amqp.expect("on"), "ANONYMOUS", b"").expect("in");
+    let mut body = Vec::new();
+    let fields = Value::List(vec![Value::text("c")]);
+    encode(&Value::Described(Box::new(Value::symbol(Open::NAME)), Box::new(fields)), &mut body);
+    let mut bytes = ((body.len() + 8) as u32).to_be_bytes().to_vec();
+    bytes.extend([2, 0, 0, 0]);
+    bytes.extend(body);
+    std::io::Write::write_all(&mut client.peer.stream, &bytes).expect("written");
+    until!(client, Open);
+}
+
+#[rstest]
+#[case::no_container(Open::default(), condition::INVALID_FIELD)]
+#[case::frames_below_512(
+    Open { container_id: Some("c".into()), max_frame_size: Some(511), ..Default::default() },
+    condition::INVALID_FIELD
+)]
+fn an_open_that_lacks_what_it_must_say_is_refused(#[case] open: Open, #[case] expected: &str) {
+    let bench = bench(ON);
+    let mut client = AmqpPeer::known(bench.amqp.expect("on"), "ANONYMOUS", b"").expect("in");
+    client.put(open);
+    assert_eq!(closed(&mut client), expected);
+}
+
+#[rstest]
+#[case::a_second_open(frame(0, Open { container_id: Some("c".into()), ..Default::default() }), condition::ILLEGAL_STATE)]
+#[case::a_channel_that_never_began(frame(5, Flow::default()), condition::ILLEGAL_STATE)]
+#[case::a_channel_twice(frame(0, begin()), condition::FRAMING_ERROR)]
+#[case::a_sasl_body(frame(0, sparbank_amqp::SaslOutcome::default()), condition::NOT_ALLOWED)]
+#[case::a_tag_of_33_octets(tag_of_33_octets(), condition::INVALID_FIELD)]
+#[case::an_unknown_performative(b"\x00\x00\x00\x0c\x02\x00\x00\x00\x00\x53\x77\x45".to_vec(), condition::DECODE_ERROR)]
+#[case::a_frame_cut_short_inside(b"\x00\x00\x00\x0d\x02\x00\x00\x00\x00\x53\x13\xc0\x20".to_vec(), condition::DECODE_ERROR)]
+fn what_breaks_the_connection_closes_it_with_its_condition(#[case] bytes: Vec<u8>, #[case] expected: &str) {
+    let bench = bench(ON);
+    let mut client = client(&bench);
+    std::io::Write::write_all(&mut client.peer.stream, &bytes).expect("written");
+    assert_eq!(closed(&mut client), expected);
+}
+
+#[rstest]
+fn close_is_answered_with_close_and_nothing_follows() {
+    let bench = bench(ON);
+    let mut client = client(&bench);
+    client.put(Close::default());
+    assert_eq!(until!(client, Close).0.error, None);
+    client.peer.ends();
+}
+
+#[rstest]
+fn end_is_answered_with_end_and_its_channel_may_begin_again() {
+    let bench = bench(ON);
+    let mut client = client(&bench);
+    client.put(attach("l", 0));
+    until!(client, Flow);
+    client.put(End::default());
+    assert_eq!(until!(client, End).0.error, None);
+    client.put(begin());
+    until!(client, Begin);
+    assert!(client.attach(CLASS).expect("the handle is free again") > 0);
+}
+
+#[rstest]
+#[case::no_such_link(frame(0, Detach { handle: Some(9), ..Default::default() }), condition::UNATTACHED_HANDLE)]
+#[case::a_handle_twice(frame(0, attach("other", 0)), condition::HANDLE_IN_USE)]
+#[case::a_handle_above_the_highest(frame(0, attach("other", 4096)), condition::HANDLE_IN_USE)]
+#[case::a_transfer_on_nothing(
+    frame(0, Transfer { handle: Some(9), ..Default::default() }),
+    condition::UNATTACHED_HANDLE
+)]
+fn what_breaks_a_session_ends_it_and_the_connection_goes_on(#[case] bytes: Vec<u8>, #[case] expected: &str) {
+    let bench = bench(ON);
+    let mut client = client(&bench);
+    client.put(attach("l", 0));
+    until!(client, Flow);
+    std::io::Write::write_all(&mut client.peer.stream, &bytes).expect("written");
+    assert_eq!(until!(client, End).0.error.expect("why").condition, expected);
+    client.put(End::default());
+    client.put(begin());
+    until!(client, Begin);
+    assert!(client.attach(CLASS).expect("the connection goes on") > 0);
+}
+
+#[rstest]
+fn the_bounds_are_announced_before_they_bind() {
+    let bench = bench(
+        r#"{"listen":"127.0.0.1:0","max_frame":4096,"channel_max":2,"handle_max":5,"window":9,"max_message":1000}"#,
+    );
+    let mut client = AmqpPeer::known(bench.amqp.expect("on"), "ANONYMOUS", b"").expect("in");
+    client.open("c", None, 4096);
+    let (open, _) = until!(client, Open);
+    assert_eq!((open.max_frame_size, open.channel_max), (Some(4096), Some(2)));
+    assert!(open.idle_time_out.is_some());
+    client.put(begin());
+    let (begun, _) = until!(client, Begin);
+    assert_eq!((begun.remote_channel, begun.handle_max, begun.incoming_window), (Some(0), Some(5), Some(9)));
+    client.put(attach("l", 0));
+    let (attached, _) = until!(client, Attach);
+    assert_eq!((attached.role, attached.max_message_size), (Some(true), Some(1000)));
+}
+
+#[rstest]
+fn a_link_attached_again_under_its_name_is_stolen_from_its_older_self() {
+    let bench = bench(ON);
+    let mut client = client(&bench);
+    client.put(attach("l", 0));
+    until!(client, Flow);
+    client.put(attach("l", 1));
+    let (detach, _) = until!(client, Detach);
+    assert_eq!(detach.error.expect("why").condition, condition::STOLEN);
+    until!(client, Attach);
+    assert!(until!(client, Flow).0.link_credit > Some(0));
+}
+
+#[rstest]
+#[case::for_good(Some(true))]
+#[case::for_now(None)]
+fn a_detach_is_answered_alike(#[case] how: Option<bool>) {
+    let bench = bench(ON);
+    let mut client = client(&bench);
+    client.put(attach("l", 0));
+    until!(client, Flow);
+    client.put(Detach { handle: Some(0), closed: how, error: None });
+    let (answer, _) = until!(client, Detach);
+    assert_eq!((answer.closed, answer.error), (how, None));
+}
+
+#[rstest]
+fn a_delivery_beyond_the_credit_detaches_its_link() {
+    let bench = bench(r#"{"listen":"127.0.0.1:0","unsettled":3}"#);
+    let mut client = client(&bench);
+    assert_eq!(client.attach(CLASS).expect("known"), 3);
+    for id in 0..4 {
+        client.deliver(id, &message(60_000, "7f3a", b"reading"));
+    }
+    let (detach, _) = until!(client, Detach);
+    assert_eq!(detach.error.expect("why").condition, condition::TRANSFER_LIMIT_EXCEEDED);
+}
+
+#[rstest]
+fn a_disposition_of_what_is_not_there_changes_nothing_however_wide() {
+    let bench = bench(ON);
+    let mut client = client(&bench);
+    client.put(attach("l", 0));
+    until!(client, Flow);
+    let (first, last, settled) = (Some(7), Some(6), Some(true));
+    for role in [Some(true), Some(false)] {
+        let state = Some(State::Accepted);
+        client.put(Disposition { role, first, last, settled, state, ..Default::default() });
+    }
+    client.put(Flow { echo: Some(true), ..whole_flow() });
+    until!(client, Flow);
+}
+
+fn whole_flow() -> Flow {
+    Flow {
+        next_incoming_id: Some(0),
+        incoming_window: Some(100),
+        next_outgoing_id: Some(0),
+        outgoing_window: Some(100),
+        ..Default::default()
+    }
+}
+
+#[rstest]
+fn a_sender_that_settles_what_it_sent_wants_no_answer_any_more() {
+    let mut bench = bench(ON);
+    let mut client = client(&bench);
+    client.put(attach("l", 0));
+    until!(client, Flow);
+    client.deliver(0, &message(60_000, "7f3a", b"reading"));
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 100, 65536);
+    server.link(10, 100);
+    until!(server, Transfer);
+    let (role, first, settled) = (Some(false), Some(0), Some(true));
+    client.put(Disposition { role, first, settled, ..Default::default() });
+    assert_eq!(until!(server, Disposition).0.settled, Some(true), "the region hears that nobody waits");
+    assert_eq!(bench.counter("left"), 1);
+}
+
+#[rstest]
+#[case::the_header_after_the_body({
+    let mut bytes = Vec::new();
+    encode(&Value::described(0x75, Value::Binary(vec![1])), &mut bytes);
+    encode(&Value::composite(0x70, Vec::new()), &mut bytes);
+    bytes
+})]
+#[case::two_bodies_of_a_kind_that_stands_alone({
+    let mut bytes = Vec::new();
+    encode(&Value::described(0x77, Value::Null), &mut bytes);
+    encode(&Value::described(0x77, Value::Null), &mut bytes);
+    bytes
+})]
+#[case::a_key_that_is_no_text({
+    let mut bytes = Vec::new();
+    encode(&Value::described(0x74, Value::Map(vec![(Value::Uint(1), Value::Null)])), &mut bytes);
+    encode(&Value::described(0x77, Value::Null), &mut bytes);
+    bytes
+})]
+#[case::a_section_that_does_not_exist({
+    let mut bytes = Vec::new();
+    encode(&Value::described(0x79, Value::Null), &mut bytes);
+    bytes
+})]
+fn a_message_out_of_its_form_is_rejected_and_the_link_goes_on(#[case] bytes: Vec<u8>) {
+    let bench = bench(ON);
+    let mut client = client(&bench);
+    client.put(attach("l", 0));
+    until!(client, Flow);
+    client.deliver(0, &bytes);
+    let (d, _) = until!(client, Disposition);
+    assert!(matches!(d.state, Some(State::Rejected(Some(_)))));
+    client.deliver(1, &bytes);
+    assert_eq!(until!(client, Disposition).0.first, Some(1));
+}
+
+#[rstest]
+fn sasl_frames_are_read_on_any_channel_and_are_no_larger_than_512_octets() {
+    let bench = bench(ON);
+    let addr = bench.amqp.expect("on");
+    for (size, taken) in [(10, true), (600, false)] {
+        let mut peer = Peer::connect(addr);
+        let init = sparbank_amqp::SaslInit {
+            mechanism: Some(sparbank_amqp::Symbol("ANONYMOUS".into())),
+            initial_response: Some(vec![b'x'; size]),
+            hostname: None,
+        };
+        let mut bytes = b"AMQP\x03\x01\x00\x00".to_vec();
+        sparbank_amqp::put_frame(&mut bytes, sparbank_amqp::SASL, 77, Some(&init.into()), &[]);
+        std::io::Write::write_all(&mut peer.stream, &bytes).expect("written");
+        if !taken {
+            peer.drains(std::time::Duration::from_secs(3));
+            continue;
+        }
+        let mut header = [0; 8];
+        peer.read_exact(&mut header);
+        assert_eq!(&header, b"AMQP\x03\x01\x00\x00");
+        let mut last = None;
+        for _ in 0..2 {
+            let mut size = [0; 4];
+            peer.read_exact(&mut size);
+            let mut bytes = size.to_vec();
+            bytes.resize(u32::from_be_bytes(size) as usize, 0);
+            peer.read_exact(&mut bytes[4..]);
+            last = sparbank_amqp::take_frame(&mut &bytes[..], 512).expect("sound").and_then(|f| f.body);
+        }
+        assert!(matches!(last, Some(Performative::SaslOutcome(outcome)) if outcome.code == Some(0)));
+    }
+}
+
+#[rstest]
+fn a_peer_that_is_silent_beyond_the_idle_time_is_closed_with_a_reason() {
+    let bench = bench(r#"{"listen":"127.0.0.1:0","idle_ms":400}"#);
+    let mut client = client(&bench);
+    assert_eq!(closed(&mut client), condition::RESOURCE_LIMIT_EXCEEDED);
+}
+
+#[rstest]
+fn numbers_near_their_wrap_are_taken() {
+    let bench = bench(ON);
+    let mut client = AmqpPeer::opened(bench.amqp.expect("on"), "c", None);
+    client.put(Begin { next_outgoing_id: Some(u32::MAX - 1), ..begin() });
+    until!(client, Begin);
+    client.put(Attach { initial_delivery_count: Some(u32::MAX - 1), ..attach("l", 0) });
+    let (flow, _) = until!(client, Flow);
+    assert_eq!(flow.delivery_count, Some(u32::MAX - 1));
+    let mut server = None;
+    for n in 0..5u32 {
+        let id = (u32::MAX - 1).wrapping_add(n);
+        client.send(0, id, &message(60_000, "7f3a", b"reading"));
+        let server = server.get_or_insert_with(|| {
+            let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 100, 65536);
+            server.link(10, 100);
+            server
+        });
+        let (transfer, _) = until!(server, Transfer);
+        server.settle(transfer.delivery_id.expect("an id"), State::Accepted);
+        assert_eq!(until!(client, Disposition).0.first, Some(id));
+    }
+}
+
+/// Every test that the page of the conformance suite names is there.
+#[rstest]
+fn the_page_names_tests_that_exist() {
+    let root = env!("CARGO_MANIFEST_DIR");
+    let page = std::fs::read_to_string(format!("{root}/docs/AMQP-CONFORMANCE.md")).expect("the page");
+    let mut sources = String::new();
+    for folder in ["tests", "crates/amqp/tests", "crates/amqp/src"] {
+        for entry in std::fs::read_dir(format!("{root}/{folder}")).expect("a folder") {
+            let path = entry.expect("an entry").path();
+            if path.extension().is_some_and(|e| e == "rs") {
+                sources += &std::fs::read_to_string(path).expect("a file");
+            }
+        }
+    }
+    let mut rows = 0;
+    for line in page.lines().filter(|line| line.starts_with("| ") && !line.starts_with("| §")) {
+        let last = line.trim_end_matches(" |").rsplit("| ").next().expect("a column");
+        for name in last.split(", ").filter_map(|name| name.strip_prefix('`')?.strip_suffix('`')) {
+            assert!(sources.contains(&format!("fn {name}(")), "{name} is no test");
+            rows += 1;
+        }
+    }
+    assert!(rows > 40, "{rows}");
+}
