Test a public AMQP client library against the node, as terminal and as region

Need: users come with a library, not with scripted frames.

Change: fe2o3-amqp sends (300,000 octets among them), receives, detaches with a delivery in hand and comes again by name, and makes itself known by PLAIN; its acceptors are regions with and without SASL.

--- /dev/null
+++ b/tests/amqp_clients.rs
@@ -0,0 +1,149 @@
+//! A public client library against the node, as terminal and as region.
+
+mod peers;
+
+use fe2o3_amqp::acceptor::{
+    ConnectionAcceptor, LinkAcceptor, LinkEndpoint, SaslAnonymousMechanism, SessionAcceptor,
+};
+use fe2o3_amqp::sasl_profile::SaslProfile;
+use fe2o3_amqp::types::messaging::{Body, Outcome};
+use fe2o3_amqp::types::primitives::Value;
+use fe2o3_amqp::{Connection, Receiver, Sender, Session};
+use peers::*;
+use rstest::rstest;
+use std::net::TcpListener;
+use std::time::Duration;
+
+const CLASS: &str = "live-readings";
+const ON: &str = r#"{"listen":"127.0.0.1:0"}"#;
+
+/// A region on the library's own acceptors: it accepts whatever is sent, and sends three readings on each
+/// link that asks.
+async fn region(listener: TcpListener, sasl: bool) {
+    listener.set_nonblocking(true).expect("non-blocking");
+    let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+    loop {
+        let (stream, _) = listener.accept().await.expect("the node");
+        tokio::spawn(async move {
+            let builder = ConnectionAcceptor::builder().container_id("region");
+            let connection = if sasl {
+                builder.sasl_acceptor(SaslAnonymousMechanism {}).build().accept(stream).await
+            } else {
+                builder.build().accept(stream).await
+            };
+            // Without SASL the node's first connection ends here, and it comes again.
+            let Ok(mut connection) = connection else { return };
+            while let Ok(mut session) = SessionAcceptor::new().accept(&mut connection).await {
+                tokio::spawn(async move {
+                    while let Ok(link) = LinkAcceptor::new().accept(&mut session).await {
+                        tokio::spawn(serve(link));
+                    }
+                });
+            }
+        });
+    }
+}
+
+async fn serve(link: LinkEndpoint) {
+    match link {
+        LinkEndpoint::Receiver(mut receiver) => {
+            while let Ok(delivery) = receiver.recv::<Body<Value>>().await {
+                // Slow enough for a link to be detached while it runs.
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                receiver.accept(&delivery).await.expect("accepted");
+            }
+        }
+        LinkEndpoint::Sender(mut sender) => {
+            for n in 0..3u32 {
+                let outcome = sender.send(format!("reading {n}")).await.expect("an outcome");
+                assert!(matches!(outcome, Outcome::Accepted(_)));
+            }
+            // The link stands until somebody ends it.
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().expect("a runtime")
+}
+
+/// What a test may take before it has gone wrong.
+async fn within<T>(work: impl std::future::Future<Output = T>) -> T {
+    tokio::time::timeout(Duration::from_secs(20), work).await.expect("it goes on")
+}
+
+#[rstest]
+#[case::a_region_with_sasl(true)]
+#[case::a_region_without(false)]
+fn the_library_sends_receives_and_comes_again(#[case] sasl: bool) {
+    let mut bench = Bench::with(vec![listener()], Some(ON));
+    let addr = bench.amqp.expect("on");
+    let copy = bench.regions[0].try_clone().expect("a second handle");
+    let runtime = runtime();
+    runtime.spawn(region(copy, sasl));
+    runtime.block_on(within(async {
+        let url = format!("amqp://{addr}");
+        let mut connection = Connection::open("terminal", url.as_str()).await.expect("open");
+        let mut session = Session::begin(&mut connection).await.expect("begun");
+        let mut sender = Sender::attach(&mut session, "sending", CLASS).await.expect("attached");
+        for n in 0..5 {
+            let outcome = sender.send(format!("reading {n}")).await.expect("an outcome");
+            assert!(matches!(outcome, Outcome::Accepted(_)), "{outcome:?}");
+        }
+        let large = vec![7u8; 300_000];
+        let outcome = sender.send(serde_bytes::ByteBuf::from(large)).await.expect("an outcome");
+        assert!(matches!(outcome, Outcome::Accepted(_)), "{outcome:?}");
+        // One is on its way when the link is detached; it comes again by its name.
+        let waiting = sender.send_batchable("in hand").await.expect("sent");
+        let detached = sender.detach().await.map_err(|(_, e)| e).expect("detached");
+        let mut sender = detached.resume().await.expect("it comes again");
+        assert!(matches!(waiting.await.expect("an outcome"), Outcome::Accepted(_)));
+        assert!(matches!(sender.send("after").await.expect("an outcome"), Outcome::Accepted(_)));
+        sender.close().await.expect("closed");
+
+        let mut receiver = Receiver::attach(&mut session, "receiving", CLASS).await.expect("attached");
+        for n in 0..3 {
+            let delivery = receiver.recv::<String>().await.expect("a reading");
+            assert_eq!(delivery.body(), &format!("reading {n}"));
+            receiver.accept(&delivery).await.expect("accepted");
+        }
+        receiver.close().await.expect("closed");
+        session.end().await.expect("ended");
+        connection.close().await.expect("closed");
+    }));
+    let counters = bench.counters();
+    // Eight deliveries and one standing connection, each of them run once.
+    assert_eq!([counters["taken"], counters["sent"], counters["served"]], [9, 9, 9]);
+}
+
+#[rstest]
+#[case::right("wind", true)]
+#[case::wrong("rain", false)]
+fn the_library_makes_itself_known_by_plain(#[case] password: &str, #[case] good: bool) {
+    let users = file("users.json", r#"{"users":{}}"#);
+    let mut child = program(&["amqp-user", users.to_str().expect("a path"), "anna"], &users)
+        .stdin(std::process::Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let mut stdin = child.stdin.take().expect("its input");
+    std::io::Write::write_all(&mut stdin, b"wind\n").expect("written");
+    drop(stdin);
+    assert!(child.wait().expect("it ends").success());
+    let on = format!(
+        r#"{{"listen":"127.0.0.1:0","users":{:?},"plain_unencrypted":true}}"#,
+        users.to_str().expect("a path")
+    );
+    let bench = Bench::with(vec![listener()], Some(&on));
+    let url = format!("amqp://{}", bench.amqp.expect("on"));
+    runtime().block_on(within(async {
+        let (username, password) = ("anna".to_string(), password.to_string());
+        let profile = SaslProfile::Plain { username, password };
+        let opened =
+            Connection::builder().container_id("terminal").sasl_profile(profile).open(url.as_str()).await;
+        assert_eq!(opened.is_ok(), good);
+        if let Ok(mut connection) = opened {
+            connection.close().await.expect("closed");
+        }
+    }));
+}
