Speak TLS at the AMQP front, with EXTERNAL by client certificate and reload on SIGHUP

Need: PLAIN passwords and readings went in the clear, and EXTERNAL had no transport to speak for a client.

Change: front/tls drives rustls from the loop (octets in, octets out; no runtime) for any front. The AMQP front takes a second listener (`tls`: listen, certificate, key, client_ca, client_must); PLAIN is offered under TLS without further ado, EXTERNAL where there is a client_ca, as the user that the certificate's first DNS name says. Certificates and keys are read again on SIGHUP, all or nothing; open connections stay.

--- a/src/front/amqp/config.rs
+++ b/src/front/amqp/config.rs
@@ -1,6 +1,7 @@
 //! The AMQP front's own file, such as `deploy/amqp.json`.
 
 use super::access::Users;
+use crate::front::tls::TlsFile;
 use crate::interface::Nanos;
 use crate::wire;
 use serde::Deserialize;
@@ -8,6 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 const MS: Nanos = 1_000_000;
 
@@ -60,11 +62,16 @@
     pub users: Option<PathBuf>,
     /// PLAIN passwords may come over connections that are not encrypted.
     pub plain_unencrypted: bool,
+    /// Where terminals connect under TLS.
+    pub tls: Option<TlsFile>,
     /// When the node leaves, terminals are told to go there.
     pub redirect: Option<Redirect>,
     /// What [`AmqpConfig::users`] holds.
     #[serde(skip)]
     pub known: Option<Users>,
+    /// What [`AmqpConfig::tls`] names.
+    #[serde(skip)]
+    pub tls_config: Option<Arc<rustls::ServerConfig>>,
 }
 
 /// Where a region speaks AMQP, and how the node makes itself known there.
@@ -146,8 +153,10 @@
             regions: HashMap::new(),
             users: None,
             plain_unencrypted: false,
+            tls: None,
             redirect: None,
             known: None,
+            tls_config: None,
         }
     }
 }
@@ -174,8 +183,12 @@
         if config.max_held < config.keep {
             return wrong("max_held", "at least keep");
         }
+        let beside = path.parent().unwrap_or(Path::new(""));
+        if let Some(tls) = &config.tls {
+            config.tls_config = Some(tls.load(beside, "tls").map_err(|e| format!("{name}: {e}"))?);
+        }
         if let Some(users) = &config.users {
-            let users = path.parent().unwrap_or(Path::new("")).join(users);
+            let users = beside.join(users);
             config.known = Some(Users::read(&users)?);
         }
         Ok(config)
--- a/src/front/amqp/from_terminals.rs
+++ b/src/front/amqp/from_terminals.rs
@@ -2,8 +2,9 @@
 
 use super::items::Item;
 use super::recovery::{Fate, Key};
-use super::terminals::{Intake, Partial, Use};
+use super::terminals::{Intake, Partial, Terminal, Use};
 use super::*;
+use crate::front::tls::Tls;
 use crate::front::{Ctx, Due, ANSWER_MARGIN};
 use crate::net::{Kind, Notice, Token, SLOW};
 use crate::wire::tag;
@@ -55,11 +56,18 @@
             ctx.core.counters.over_budget += 1;
             return ctx.net.close(token);
         }
-        let offered = self.config.known.as_ref().map(|u| u.mechanisms(self.config.plain_unencrypted, false));
+        let under_tls = self.tls_listener.is_some() && ctx.net.came_to(token) == self.tls_listener;
+        let tls = self.config.tls_config.as_ref().filter(|_| under_tls).and_then(|c| Tls::new(c).ok());
+        if under_tls && tls.is_none() {
+            return ctx.net.close(token);
+        }
+        let external = under_tls && self.config.tls.as_ref().is_some_and(|tls| tls.client_ca.is_some());
+        let plain = self.config.plain_unencrypted || under_tls;
+        let offered = self.config.known.as_ref().map(|users| users.mechanisms(plain, external));
         let conn = Connection::accept(ctx.now, self.config.terminal(&self.container), offered);
         ctx.net.read_ahead(token, self.config.max_frame as usize + 1024);
         let ip = ctx.net.peer(token).map(|peer| peer.ip());
-        if !self.terminals.insert(token, conn, ip, self.config.peer_connections) {
+        if !self.terminals.insert(token, conn, tls, ip, self.config.peer_connections) {
             ctx.core.counters.over_budget += 1;
             ctx.net.close(token);
         }
@@ -71,9 +79,16 @@
             return ctx.net.rearm(token);
         }
         let mut bytes = ctx.net.input(token).map(std::mem::take).unwrap_or_default();
-        let mut left = &bytes[..];
         let mut fault = None;
-        while let Some(terminal) = self.terminals.get(token) {
+        if let Some(Terminal { tls: Some(tls), clear, .. }) = self.terminals.get(token) {
+            let mut all = std::mem::take(clear);
+            if let Err(words) = tls.read(&bytes, &mut all) {
+                fault = Some(sparbank_amqp::fault(condition::FRAMING_ERROR, words));
+            }
+            bytes = all;
+        }
+        let mut left = &bytes[..];
+        while let Some(terminal) = self.terminals.get(token).filter(|_| fault.is_none()) {
             if self.items.held() >= self.config.max_held {
                 self.terminals.pause(token);
                 break;
@@ -88,13 +103,15 @@
             }
         }
         let taken = bytes.len() - left.len();
+        let Some(terminal) = self.terminals.get(token) else { return ctx.net.close(token) };
         if taken < bytes.len() {
             bytes.drain(..taken);
-            if let Some(input) = ctx.net.input(token) {
+            if terminal.tls.is_some() {
+                terminal.clear = bytes;
+            } else if let Some(input) = ctx.net.input(token) {
                 *input = bytes;
             }
         }
-        let Some(terminal) = self.terminals.get(token) else { return ctx.net.close(token) };
         if let Some(why) = fault {
             ctx.core.counters.malformed += 1;
             crate::log::line(format_args!("amqp-terminal-fault condition={} {}", why.condition, why.words));
@@ -551,7 +568,11 @@
                     self.verdict(ctx, token, None);
                 }
             }
-            Asked::External => self.verdict(ctx, token, None),
+            Asked::External => {
+                let name = self.terminals.get(token).and_then(|t| t.tls.as_ref()?.peer_name());
+                let who = name.and_then(|name| users.named(&name));
+                self.verdict(ctx, token, who);
+            }
         }
     }
 
@@ -600,8 +621,10 @@
 
     pub(super) fn terminal_gone(&mut self, ctx: &mut Ctx, token: Token) {
         if let Some(terminal) = self.terminals.get(token) {
-            let out = terminal.conn.take_out(ctx.now);
-            ctx.net.send(token, &out);
+            if let Some(tls) = &mut terminal.tls {
+                tls.close();
+            }
+            terminal.say(ctx, token);
         }
         ctx.net.close(token);
         let Some(mut terminal) = self.terminals.remove(token) else { return };
--- a/src/front/amqp/mod.rs
+++ b/src/front/amqp/mod.rs
@@ -54,6 +54,7 @@
     relays: Relays,
     recovery: Recovery,
     checks: access::Checks,
+    tls_listener: Option<Token>,
     aborted: u64,
     refused_logins: u64,
     fate_unknown: u64,
@@ -69,6 +70,14 @@
         facts: &Facts,
     ) -> Result<Opened, String> {
         let at = net.listen(config.listen, Owner::Front(id)).map_err(|e| format!("amqp listen: {e}"))?;
+        let mut line = format!("listen={at}");
+        let mut tls_listener = None;
+        if let Some(tls) = &config.tls {
+            let bound = net.listen_at(tls.listen, Owner::Front(id));
+            let (token, at) = bound.map_err(|e| format!("amqp tls listen: {e}"))?;
+            line = format!("tls={at} {line}");
+            tls_listener = Some(token);
+        }
         let classes: Vec<String> = facts.classes.iter().map(|c| c.name.clone()).collect();
         let front = AmqpFront {
             id,
@@ -81,12 +90,13 @@
             relays: Relays::default(),
             recovery: Recovery::default(),
             checks: access::Checks::default(),
+            tls_listener,
             aborted: 0,
             refused_logins: 0,
             fate_unknown: 0,
             leaving: false,
         };
-        Ok((Box::new(front), format!("listen={at}")))
+        Ok((Box::new(front), line))
     }
 
     // ---- What happened at the regions ------------------------------------------------------------
@@ -350,7 +360,11 @@
 
     fn take_over(&mut self, new: Box<dyn Any>) -> Vec<&'static str> {
         let Ok(new) = new.downcast::<AmqpConfig>() else { return Vec::new() };
-        let fixed = if new.listen == self.config.listen { Vec::new() } else { vec!["amqp listen"] };
+        let mut fixed = if new.listen == self.config.listen { Vec::new() } else { vec!["amqp listen"] };
+        let at = |config: &AmqpConfig| config.tls.as_ref().map(|tls| tls.listen);
+        if at(&new) != at(&self.config) {
+            fixed.push("amqp tls.listen");
+        }
         self.config = AmqpConfig { listen: self.config.listen, ..*new };
         fixed
     }
--- a/src/front/amqp/terminals.rs
+++ b/src/front/amqp/terminals.rs
@@ -4,6 +4,7 @@
 use super::config::AmqpConfig;
 use super::items::Map;
 use super::recovery::Key;
+use crate::front::tls::Tls;
 use crate::front::Ctx;
 use crate::interface::{Nanos, RequestId};
 use crate::net::{Token, SLOW};
@@ -20,6 +21,9 @@
     pub live: usize,
     pub who: Rc<Who>,
     ip: Option<IpAddr>,
+    /// Its transport's encryption, and what came in the clear and was not taken.
+    pub tls: Option<Tls>,
+    pub clear: Vec<u8>,
     /// There may be something to write.
     dirty: bool,
     /// Transactions whose link is going, until it is known whether it may come again.
@@ -79,7 +83,14 @@
 
 impl Terminals {
     /// Takes a connection in. False where its address holds as many as it may.
-    pub fn insert(&mut self, token: Token, conn: Connection, ip: Option<IpAddr>, most: usize) -> bool {
+    pub fn insert(
+        &mut self,
+        token: Token,
+        conn: Connection,
+        tls: Option<Tls>,
+        ip: Option<IpAddr>,
+        most: usize,
+    ) -> bool {
         if let Some(ip) = ip {
             let count = self.by_ip.entry(ip).or_default();
             if *count >= most {
@@ -89,8 +100,9 @@
         }
         let (links, who) = (Map::default(), Rc::new(Who::default()));
         let (dirty, stalled, refuse_at) = (false, false, None);
-        let dropped = Vec::new();
-        let terminal = Terminal { conn, links, live: 0, who, ip, dirty, dropped, stalled, refuse_at };
+        let (dropped, clear) = (Vec::new(), Vec::new());
+        let terminal =
+            Terminal { conn, links, live: 0, who, ip, tls, clear, dirty, dropped, stalled, refuse_at };
         self.map.insert(token, Box::new(terminal));
         true
     }
@@ -228,11 +240,23 @@
     /// Writes what there is. False where the connection is over with it.
     pub fn flush(&mut self, ctx: &mut Ctx, token: Token) -> bool {
         let Some(terminal) = self.map.get_mut(&token) else { return true };
-        let out = terminal.conn.take_out(ctx.now);
+        terminal.say(ctx, token);
+        !terminal.conn.is_closed()
+    }
+}
+
+impl Terminal {
+    /// Sends what there is to say.
+    pub fn say(&mut self, ctx: &mut Ctx, token: Token) {
+        let mut out = self.conn.take_out(ctx.now);
+        if let Some(tls) = &mut self.tls {
+            let mut wire = Vec::new();
+            tls.write(&out, &mut wire);
+            out = wire;
+        }
         if !out.is_empty() {
             ctx.net.send(token, &out);
         }
-        !terminal.conn.is_closed()
     }
 }
 
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod amqp;
 pub mod text;
+pub mod tls;
 
 use crate::config::Facts;
 use crate::core::{Core, FrontId};
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -85,6 +85,8 @@
     discard: usize,
     /// No more than this is read ahead of who takes it.
     ahead: usize,
+    /// Where it was accepted.
+    listener: Option<Token>,
 }
 
 /// No more than this is read ahead of who takes it, unless the owner asks for more ([`Net::read_ahead`]).
@@ -199,13 +201,17 @@
 
     /// Listens on an address; gives the address too, for a port that the system picked.
     pub fn listen(&mut self, addr: SocketAddr, owner: Owner) -> io::Result<SocketAddr> {
+        self.listen_at(addr, owner).map(|(_, bound)| bound)
+    }
+
+    /// The same, with the listener's token, for an owner that has several ([`Net::came_to`]).
+    pub fn listen_at(&mut self, addr: SocketAddr, owner: Owner) -> io::Result<(Token, SocketAddr)> {
         let fd = socket(addr)?;
         sockopt::set_socket_reuseaddr(&fd, true)?;
         rustix::net::bind(&fd, &addr)?;
         rustix::net::listen(&fd, BACKLOG)?;
         let bound = SocketAddr::try_from(rustix::net::getsockname(&fd)?).map_err(|_| Errno::AFNOSUPPORT)?;
-        self.insert(fd, owner, Stage::Listening)?;
-        Ok(bound)
+        Ok((self.insert(fd, owner, Stage::Listening)?, bound))
     }
 
     /// Starts a connection. What is sent meanwhile is written once it is up.
@@ -238,6 +244,11 @@
         }
     }
 
+    /// The listener that an accepted connection came to.
+    pub fn came_to(&self, token: Token) -> Option<Token> {
+        self.peek(token)?.listener
+    }
+
     /// The address of a connection's other end.
     pub fn peer(&self, token: Token) -> Option<SocketAddr> {
         let socket = self.peek(token)?;
@@ -446,6 +457,7 @@
                         self.pending.push(Notice { token, owner, kind: Kind::Accepted });
                         if let Some(socket) = self.get(token) {
                             socket.unproven = true;
+                            socket.listener = Some(listener);
                         }
                         // Room is made by those before it: it has had no time to say anything yet.
                         self.make_room();
@@ -605,6 +617,7 @@
             unproven,
             discard,
             ahead,
+            listener: None,
         };
         self.slots[index as usize].1 = Some(socket);
         self.open += 1;
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -96,6 +96,8 @@
     log: BufReader<std::process::ChildStderr>,
     pub addr: SocketAddr,
     pub amqp: Option<SocketAddr>,
+    /// What the AMQP front said of where it listens.
+    pub amqp_line: String,
     pub discovery: TcpListener,
     pub regions: Vec<TcpListener>,
     pub generation: u64,
@@ -189,12 +191,23 @@
         let mut child = program(&all, &files).spawn().expect("the node starts");
         let log = BufReader::new(child.stderr.take().expect("its log"));
         let addr = discovery.local_addr().expect("an address");
-        let mut bench =
-            Bench { child, log, addr, amqp: None, discovery, regions, generation: 1, files, config };
+        let mut bench = Bench {
+            child,
+            log,
+            addr,
+            amqp: None,
+            amqp_line: String::new(),
+            discovery,
+            regions,
+            generation: 1,
+            files,
+            config,
+        };
         let started = bench.logged("started");
         bench.addr = listen(&started);
         if amqp.is_some() {
-            bench.amqp = Some(listen(&bench.logged("amqp")));
+            bench.amqp_line = bench.logged("amqp");
+            bench.amqp = Some(listen(&bench.amqp_line));
         }
         bench
     }
