Play both fronts at once under kills, hangs and drains, and hold the books to what terminals saw

Need: nothing showed that the two fronts account alike under failure, nor that no item is tried at two regions at once.

Change: tests/mixed.rs: eight text and eight AMQP terminals against six regions that speak both, with a trouble each 0.2 s; regions keep a ledger of attempts.

--- /dev/null
+++ b/tests/mixed.rs
@@ -0,0 +1,437 @@
+//! Both fronts at once, with regions killed, hung and drained at random: every item gets exactly one final
+//! answer, none is tried at two regions at the same time, none that must not run twice does, and the node's
+//! books are the sum of what both fronts' terminals saw.
+//!
+//! Five seconds in CI. Longer: `MIXED_SECONDS=60 cargo test --release --test mixed -- --nocapture`.
+
+mod peers;
+
+use peers::*;
+use rstest::rstest;
+use sparbank_amqp::{
+    Attach, Connection, Credentials, Event, LinkId, Outgoing, Role, Settings, State, Target, Terminus, Value,
+};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicU8, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const REGIONS: usize = 6;
+const TERMINALS: usize = 8;
+/// Classes that may and that must not run twice.
+const CLASSES: [&str; 2] = ["live-readings", "station-notes"];
+/// What one thread may hear later than another of the same moment.
+const LATE: Duration = Duration::from_millis(150);
+
+const UP: u8 = 0;
+const HUNG: u8 = 1;
+const DEAD: u8 = 2;
+
+/// One attempt at a region.
+struct Attempt {
+    from: Instant,
+    to: Option<Instant>,
+    ran: bool,
+}
+
+/// What happened to each item, as the regions saw it.
+#[derive(Default)]
+struct Ledger {
+    attempts: HashMap<u64, Vec<Attempt>>,
+    /// Attempts that came after their region was told to drain, and 250 ms.
+    late: u64,
+}
+
+struct Region {
+    mode: AtomicU8,
+    drained: Mutex<Option<Instant>>,
+    open: Mutex<Vec<TcpStream>>,
+    ledger: Arc<Mutex<Ledger>>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Region {
+    fn begins(&self, item: u64) -> usize {
+        let now = Instant::now();
+        let mut ledger = self.ledger.lock().expect("no thread failed");
+        let drained = *self.drained.lock().expect("no thread failed");
+        if drained.is_some_and(|at| now > at + Duration::from_millis(250) + LATE) {
+            ledger.late += 1;
+        }
+        let attempts = ledger.attempts.entry(item).or_default();
+        attempts.push(Attempt { from: now, to: None, ran: false });
+        attempts.len() - 1
+    }
+
+    fn ends(&self, item: u64, attempt: usize, ran: bool) {
+        let mut ledger = self.ledger.lock().expect("no thread failed");
+        if let Some(attempt) = ledger.attempts.get_mut(&item).and_then(|a| a.get_mut(attempt)) {
+            attempt.to.get_or_insert(Instant::now());
+            attempt.ran |= ran;
+        }
+    }
+
+    fn is(&self, mode: u8) -> bool {
+        self.mode.load(Ordering::Relaxed) == mode
+    }
+
+    fn kill(&self) {
+        self.mode.store(DEAD, Ordering::Relaxed);
+        for stream in self.open.lock().expect("no thread failed").drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    fn serve(self: Arc<Region>, listener: TcpListener, speak: fn(&Region, TcpStream)) {
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let Ok(stream) = stream else { continue };
+                if self.stop.load(Ordering::Relaxed) {
+                    return;
+                }
+                if self.is(DEAD) {
+                    continue;
+                }
+                let _ = stream.set_read_timeout(Some(Duration::from_millis(20)));
+                if let Ok(copy) = stream.try_clone() {
+                    let mut open = self.open.lock().expect("no thread failed");
+                    open.push(copy);
+                    if open.len() > 500 {
+                        open.drain(..250);
+                    }
+                }
+                let this = self.clone();
+                std::thread::spawn(move || {
+                    let copy = stream.try_clone();
+                    speak(&this, stream);
+                    // The copy that is there to kill it by would keep it open.
+                    let _ = copy.map(|stream| stream.shutdown(std::net::Shutdown::Both));
+                });
+            }
+        });
+    }
+}
+
+/// Reads what has come; none at the end.
+fn more(stream: &mut TcpStream, into: &mut Vec<u8>) -> Option<()> {
+    let mut chunk = [0; 16 * 1024];
+    match stream.read(&mut chunk) {
+        Ok(0) => None,
+        Ok(count) => {
+            into.extend(&chunk[..count]);
+            Some(())
+        }
+        Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {
+            Some(())
+        }
+        Err(_) => None,
+    }
+}
+
+fn text_region(region: &Region, mut stream: TcpStream) {
+    let mut input = Vec::new();
+    while !input.contains(&b'\n') {
+        if region.stop.load(Ordering::Relaxed) || more(&mut stream, &mut input).is_none() {
+            return;
+        }
+    }
+    let line = String::from_utf8_lossy(&input).to_string();
+    let item = line.split(' ').nth(1).and_then(|id| u64::from_str_radix(id, 16).ok()).expect("an id");
+    let attempt = region.begins(item);
+    while region.is(HUNG) {
+        if more(&mut stream, &mut input).is_none() {
+            return region.ends(item, attempt, false);
+        }
+    }
+    let answered = stream.write_all(b"UP r\r\nBYE\r\n").is_ok() && !region.is(DEAD);
+    region.ends(item, attempt, answered);
+}
+
+fn amqp_region(region: &Region, mut stream: TcpStream) {
+    let mut conn = Connection::accept(0, Settings { idle: 0, ..Settings::default() }, None);
+    // Deliveries that are not settled: the link, the number, the item and which of its attempts.
+    let mut held: Vec<(LinkId, u32, u64, usize)> = Vec::new();
+    let mut input = Vec::new();
+    let mut beat = Instant::now();
+    loop {
+        let over = region.stop.load(Ordering::Relaxed) || region.is(DEAD);
+        if over || more(&mut stream, &mut input).is_none() {
+            held.iter().for_each(|(.., item, attempt)| region.ends(*item, *attempt, false));
+            return;
+        }
+        let bytes = std::mem::take(&mut input);
+        let mut left = &bytes[..];
+        while let Some(event) = conn.next(0, &mut left).expect("the node keeps to the standard") {
+            match event {
+                Event::Asked(_) => conn.verdict(true),
+                Event::Asks { link, attach, .. } => {
+                    conn.accept_link(link, Attach { target: attach.target, ..Attach::default() });
+                    conn.grant(link, 100);
+                }
+                Event::Transfer { link, part } if part.last && !part.aborted => {
+                    let head = sparbank_amqp::Head::read(part.payload).expect("sound").expect("whole");
+                    let item =
+                        head.property(part.payload, "item").expect("an item").parse().expect("a number");
+                    conn.name_delivery(link.channel, part.id, item);
+                    held.push((link, part.id, item, region.begins(item)));
+                    if conn.credit(link) < 50 {
+                        conn.grant(link, 100);
+                    }
+                }
+                // The node waits no longer.
+                Event::Forgotten { key, .. } | Event::Dropped { key, .. } => {
+                    held.retain(|(.., item, attempt)| {
+                        if *item == key {
+                            region.ends(*item, *attempt, false);
+                        }
+                        *item != key
+                    })
+                }
+                _ => {}
+            }
+        }
+        input = left.to_vec();
+        if !region.is(HUNG) {
+            for (link, id, item, attempt) in held.drain(..) {
+                conn.settle(link.channel, id, State::Accepted);
+                region.ends(item, attempt, true);
+            }
+        }
+        let mut out = conn.take_out(0);
+        if beat.elapsed() > Duration::from_secs(1) {
+            beat = Instant::now();
+            sparbank_amqp::put_frame(&mut out, sparbank_amqp::AMQP, 0, None, &[]);
+        }
+        if stream.write_all(&out).is_err() {
+            held.iter().for_each(|(.., item, attempt)| region.ends(*item, *attempt, false));
+            return;
+        }
+    }
+}
+
+/// What terminals of one front saw.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Seen {
+    items: u64,
+    served: u64,
+    refused: u64,
+    failed: u64,
+    /// Items with no answer, or with more than one.
+    wrong: u64,
+}
+
+impl Seen {
+    fn add(&mut self, other: Seen) {
+        self.items += other.items;
+        self.served += other.served;
+        self.refused += other.refused;
+        self.failed += other.failed;
+        self.wrong += other.wrong;
+    }
+}
+
+/// Numbers an item so that its class can be told from it.
+fn number(next: &AtomicU64) -> (u64, &'static str) {
+    let number = next.fetch_add(1, Ordering::Relaxed);
+    (number, CLASSES[usize::from(number.is_multiple_of(4))])
+}
+
+fn text_terminal(addr: SocketAddr, next: &AtomicU64, until: Instant) -> Seen {
+    let mut seen = Seen::default();
+    while Instant::now() < until {
+        let (item, class) = number(next);
+        let mut stream = TcpStream::connect(addr).expect("the node listens");
+        stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a time-out");
+        write!(stream, "OPEN {item:x} {item:x} c={class},t=acme,d=1200,g=5c0f\r\n").expect("written");
+        let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
+        seen.items += 1;
+        match lines.next().as_deref() {
+            Some(line) if line.starts_with("UP") => seen.served += 1,
+            Some(line) if line.starts_with("BUSY") => seen.refused += 1,
+            Some("ERR") => seen.failed += 1,
+            _ => seen.wrong += 1,
+        }
+        let rest: Vec<String> = lines.collect();
+        seen.wrong += u64::from(rest.iter().any(|line| line != "BYE"));
+        std::thread::sleep(Duration::from_millis(3));
+    }
+    seen
+}
+
+fn amqp_terminal(addr: SocketAddr, next: &AtomicU64, until: Instant) -> Seen {
+    let mut stream = TcpStream::connect(addr).expect("the node listens");
+    stream.set_read_timeout(Some(Duration::from_millis(5))).expect("a time-out");
+    let mut conn =
+        Connection::dial(0, Settings { idle: 0, ..Settings::default() }, Some(Credentials::Anonymous));
+    let (mut input, mut links, mut open) = (Vec::new(), HashMap::new(), HashMap::new());
+    let (mut seen, mut last, mut beat) = (Seen::default(), Instant::now(), Instant::now());
+    while Instant::now() < until || !open.is_empty() {
+        assert!(Instant::now() < until + Duration::from_secs(10), "{} items without an answer", open.len());
+        let mut out = conn.take_out(0);
+        if beat.elapsed() > Duration::from_secs(1) {
+            beat = Instant::now();
+            sparbank_amqp::put_frame(&mut out, sparbank_amqp::AMQP, 0, None, &[]);
+        }
+        stream.write_all(&out).expect("the node is there");
+        more(&mut stream, &mut input).expect("the node stays");
+        let bytes = std::mem::take(&mut input);
+        let mut left = &bytes[..];
+        while let Some(event) = conn.next(0, &mut left).expect("the node keeps to the standard") {
+            match event {
+                Event::Opened {} => drop(conn.begin()),
+                Event::Began { channel } => {
+                    for class in CLASSES {
+                        let target = Target { address: Some(class.into()), ..Target::default() };
+                        let target = Some(Terminus::Target(target));
+                        let attach = Attach { target, ..Attach::default() };
+                        let link = conn.attach(channel, class, Role::Sender, attach).expect("room");
+                        links.insert(class, link);
+                    }
+                }
+                Event::Settled { key, state, .. } => {
+                    seen.wrong += u64::from(open.remove(&key).is_none());
+                    match state {
+                        Some(State::Accepted) => seen.served += 1,
+                        Some(State::Modified { failed: false, .. }) => seen.refused += 1,
+                        Some(State::Modified { failed: true, .. }) => seen.failed += 1,
+                        _ => seen.wrong += 1,
+                    }
+                }
+                _ => {}
+            }
+        }
+        input = left.to_vec();
+        let ready = last.elapsed() > Duration::from_millis(3) && Instant::now() < until;
+        if ready && links.values().all(|link| conn.can_send(*link)) && !links.is_empty() {
+            last = Instant::now();
+            let (item, class) = number(next);
+            let mut payload = Vec::new();
+            let header = vec![Value::Null, Value::Null, Value::Uint(1200)];
+            sparbank_amqp::encode(&Value::composite(0x70, header), &mut payload);
+            let named = vec![
+                (Value::text("key"), Value::text(&format!("{item:x}"))),
+                (Value::text("item"), Value::Ulong(item)),
+            ];
+            sparbank_amqp::encode(&Value::described(0x74, Value::Map(named)), &mut payload);
+            sparbank_amqp::encode(&Value::described(0x75, Value::Binary(vec![7; 100])), &mut payload);
+            let delivery = Outgoing { key: item, tag: item.into(), settled: false };
+            assert!(conn.send(links[class], delivery, &payload, true, usize::MAX).done);
+            open.insert(item, ());
+            seen.items += 1;
+        }
+    }
+    seen
+}
+
+/// A number from a number (splitmix64), so that a run's troubles can be told by their seed.
+fn mixed(seed: u64) -> u64 {
+    let x = (seed ^ (seed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+#[rstest]
+fn both_fronts_account_alike_while_regions_are_killed_hung_and_drained() {
+    let seconds = std::env::var("MIXED_SECONDS").ok().and_then(|s| s.parse().ok()).unwrap_or(5);
+    let (texts, amqps): (Vec<_>, Vec<_>) = (0..REGIONS).map(|_| (listener(), listener())).unzip();
+    let place = |(at, l): (usize, &TcpListener)| format!(r#""s-{at}":"{}""#, l.local_addr().expect("bound"));
+    let places: Vec<String> = amqps.iter().enumerate().map(place).collect();
+    let on = format!(r#"{{"listen":"127.0.0.1:0","regions":{{{}}}}}"#, places.join(","));
+    let (ledger, stop) = (Arc::new(Mutex::new(Ledger::default())), Arc::new(AtomicBool::new(false)));
+    let mut regions = Vec::new();
+    for (text, amqp) in texts.iter().zip(amqps) {
+        let region = Arc::new(Region {
+            mode: AtomicU8::new(UP),
+            drained: Mutex::new(None),
+            open: Mutex::new(Vec::new()),
+            ledger: ledger.clone(),
+            stop: stop.clone(),
+        });
+        region.clone().serve(text.try_clone().expect("a second handle"), text_region);
+        region.clone().serve(amqp, amqp_region);
+        regions.push(region);
+    }
+    let mut bench =
+        Bench::with_args(texts, Some(&on), &[], |text| text.replace(r#""sockets":256"#, r#""sockets":900"#));
+    let (text_addr, amqp_addr) = (bench.addr, bench.amqp.expect("on"));
+    let mut watch = bench.watch();
+    let until = Instant::now() + Duration::from_secs(seconds);
+    let next = Arc::new(AtomicU64::new(1));
+    let spawn = |front: fn(SocketAddr, &AtomicU64, Instant) -> Seen, addr: SocketAddr| -> Vec<_> {
+        let start = |_| {
+            let next = next.clone();
+            std::thread::spawn(move || front(addr, &next, until))
+        };
+        (0..TERMINALS).map(start).collect()
+    };
+    let hands = [spawn(text_terminal, text_addr), spawn(amqp_terminal, amqp_addr)];
+    // Troubles: one a fifth of a second, each at a region of its own, never at more than half of them.
+    let mut step = 0u64;
+    while Instant::now() < until {
+        step += 1;
+        std::thread::sleep(Duration::from_millis(200));
+        let (what, at) = (mixed(step) % 4, (mixed(step * 77) % REGIONS as u64) as usize);
+        let region = &regions[at];
+        let draining = region.drained.lock().expect("no thread failed").is_some();
+        let troubled = regions.iter().filter(|r| !r.is(UP)).count();
+        match what {
+            0 if region.is(UP) && troubled < 2 => region.mode.store(HUNG, Ordering::Relaxed),
+            1 if region.is(UP) && troubled < 2 => region.kill(),
+            2 if !draining
+                && regions.iter().filter(|r| r.drained.lock().expect("held").is_some()).count() < 2 =>
+            {
+                bench.change(&mut watch, at, "draining");
+                *region.drained.lock().expect("no thread failed") = Some(Instant::now());
+            }
+            _ => {
+                region.mode.store(UP, Ordering::Relaxed);
+                if draining {
+                    *region.drained.lock().expect("no thread failed") = None;
+                    bench.change(&mut watch, at, "ready");
+                }
+            }
+        }
+        if step.is_multiple_of(5) {
+            bench.lists(&mut watch, false, "");
+        }
+    }
+    let seen: Vec<Seen> = hands
+        .into_iter()
+        .map(|front| {
+            let mut all = Seen::default();
+            front.into_iter().for_each(|hand| all.add(hand.join().expect("a terminal's thread")));
+            all
+        })
+        .collect();
+    let counters = bench.counters();
+    stop.store(true, Ordering::Relaxed);
+    let ledger = ledger.lock().expect("no thread failed");
+    let (mut overlaps, mut twice) = (0, 0);
+    for (item, attempts) in &ledger.attempts {
+        let overlap = |pair: &[Attempt]| pair[0].to.is_none_or(|to| to > pair[1].from + LATE);
+        overlaps += attempts.windows(2).filter(|pair| overlap(pair)).count();
+        let must_not = item.is_multiple_of(4);
+        twice += usize::from(must_not && attempts.iter().filter(|a| a.ran).count() > 1);
+    }
+    println!("{seconds} s, {} regions; one trouble each 0.2 s", REGIONS);
+    println!("front     items    served   refused  failed   none or two answers");
+    for (name, seen) in ["text", "amqp"].iter().zip(&seen) {
+        let Seen { items, served, refused, failed, wrong } = seen;
+        println!("{name:<9} {items:<8} {served:<8} {refused:<8} {failed:<8} {wrong}");
+    }
+    let [taken, served, refused, failed, left] =
+        ["taken", "served", "refused", "failed", "left"].map(|name| counters[name]);
+    println!("the node  {taken:<8} {served:<8} {refused:<8} {failed:<8} (left {left})");
+    println!("two live attempts {overlaps}, run twice {twice}, after a drain {}", ledger.late);
+    let sum = |of: fn(&Seen) -> u64| seen.iter().map(of).sum::<u64>();
+    assert_eq!(sum(|s| s.wrong), 0, "each item has exactly one final answer");
+    assert_eq!(
+        [taken, served, refused, failed, left],
+        [sum(|s| s.items), sum(|s| s.served), sum(|s| s.refused), sum(|s| s.failed), 0],
+        "the books are the sum of what the terminals saw"
+    );
+    assert_eq!((overlaps, twice, ledger.late), (0, 0, 0));
+    assert!(seen.iter().all(|s| s.served > s.items / 2), "most are served: {seen:?}");
+}
