--- a/crates/amqp/src/frame.rs
+++ b/crates/amqp/src/frame.rs
@@ -33,10 +33,17 @@
     }
     let Some((frame, rest)) = all.split_at_checked(size as usize) else { return Ok(None) };
     *bytes = rest;
-    let mut reader = Reader::new(&frame[skip as usize..]);
-    let body = if reader.left.is_empty() { None } else { Some(Performative::read(&mut reader)?) };
     let channel = u16::from_be_bytes([head[6], head[7]]);
-    Ok(Some(Frame { kind: head[5], channel, body, payload: reader.left }))
+    let mut reader = Reader::new(&frame[skip as usize..]);
+    if reader.left.is_empty() {
+        return Ok(Some(Frame { kind: head[5], channel, body: None, payload: &[] }));
+    }
+    Ok(Some(Frame {
+        kind: head[5],
+        channel,
+        body: Some(Performative::read(&mut reader)?),
+        payload: reader.left,
+    }))
 }
 
 /// Appends a frame.
--- a/crates/amqp/src/performative.rs
+++ b/crates/amqp/src/performative.rs
@@ -514,6 +514,8 @@
                 const CODE: u64 = $code;
                 const NAME: &'static str = $symbol;
 
+                // Built where it stays: each move of fields just written waits for them to be stored.
+                #[inline(always)]
                 fn read_fields(fields: &mut Fields<'_>) -> Result<$name> {
                     Ok($name { $($field: fields.next(stringify!($field))?),* })
                 }
@@ -535,6 +537,7 @@
 
         impl Performative {
             /// Reads the body at the start of a frame; the payload follows it.
+            #[inline(always)]
             pub fn read(reader: &mut Reader<'_>) -> Result<Performative> {
                 match descriptor(reader)? {
                     $(Descriptor::Code($name::CODE) => {
--- a/tests/amqp_sending.rs
+++ b/tests/amqp_sending.rs
@@ -316,6 +316,24 @@
     assert_eq!(answer(&mut quick), State::Accepted);
 }
 
+#[rstest]
+fn a_region_of_one_link_a_connection_is_met_on_a_connection_for_each_class() {
+    let bench = bench(1);
+    let mut servers = Vec::new();
+    for class in [CLASS, "station-notes"] {
+        let mut client = AmqpPeer::client(bench.amqp.expect("on"), None);
+        assert!(client.attach(class).expect("known") > 0);
+        client.deliver(0, &message(5000, "7f3a", b"reading"));
+        let mut server = AmqpPeer::narrow_server(Peer::accept(&bench.regions[0]));
+        server.link(10, 100);
+        let (id, _) = whole(&mut server);
+        server.settle(id, State::Accepted);
+        assert_eq!(answer(&mut client), State::Accepted);
+        servers.push(server);
+    }
+    assert_eq!(value(&bench.stop(), "served"), 2);
+}
+
 #[rstest]
 fn a_delivery_that_its_sender_settled_is_a_transaction_without_an_answer() {
     let mut bench = bench(1);
--- a/tests/peers/amqp.rs
+++ b/tests/peers/amqp.rs
@@ -107,6 +107,29 @@
         AmqpPeer::shake(Peer::accept(listener), b"AMQP\x00\x01\x00\x00").serve(window, 4096)
     }
 
+    /// A server that takes one session with one link on a connection.
+    pub fn narrow_server(peer: Peer) -> AmqpPeer {
+        let mut this = AmqpPeer::shake(peer, b"AMQP\x03\x01\x00\x00");
+        let mechanisms = Some(Value::Symbol("ANONYMOUS".into()));
+        this.put_kind(amqp::SASL, amqp::SaslMechanisms { mechanisms }.into(), &[]);
+        until!(this, SaslInit);
+        this.put_kind(amqp::SASL, amqp::SaslOutcome { code: Some(0), additional_data: None }.into(), &[]);
+        this.header(b"AMQP\x00\x01\x00\x00");
+        until!(this, Open);
+        let container_id = Some("narrow".to_string());
+        this.put(amqp::Open { container_id, channel_max: Some(0), ..Default::default() });
+        until!(this, Begin);
+        this.put(amqp::Begin {
+            remote_channel: Some(0),
+            next_outgoing_id: Some(0),
+            incoming_window: Some(100),
+            outgoing_window: Some(100),
+            handle_max: Some(0),
+            ..Default::default()
+        });
+        this
+    }
+
     fn serve(mut self, window: u32, max_frame: u32) -> AmqpPeer {
         until!(self, Open);
         self.open("server", None, max_frame);
