Show a slow region under three messages of 1 MiB, and both ways of load in the AMQP bench

Need: the issue names a slow reader with 1 MiB messages; and the bench held the number in hand over all constant, which hides what small batches cost at one connection.

Change: a story in which a region reads a frame each 3 ms while three terminals send 1 MiB each; benches/amqp_node prints 16 in hand at each terminal beside 4,096 over all.

Result: held_most below 450,000 octets with max_held 400,000.

--- a/benches/amqp_node.rs
+++ b/benches/amqp_node.rs
@@ -328,13 +328,14 @@
     let small = message(60_000, "7f3a", &[7; 200]);
     println!("{} octets a message, {REGIONS} regions", small.len());
     terminals(pid, addr, 4, items / 10, &small, 64, None);
-    for count in [1, 64, 1000] {
-        // The same number in hand over all, however many terminals there are.
-        let ahead = (4096 / count as u64).clamp(1, 256);
+    // The same number in hand at each terminal, and the same over all, however many there are.
+    let each = [1, 64, 1000].map(|count| (count, 16));
+    let over_all = [1, 64, 1000].map(|count| (count, (4096 / count as u64).clamp(1, 256)));
+    for (count, ahead) in each.into_iter().chain(over_all) {
         let run = terminals(pid, addr, count, items, &small, ahead, None);
         let used = run.cpu;
         println!(
-            "{count:>5} connections: {:.3} CPU s per 100,000 deliveries ({:.0} a CPU second), {:.0} a second",
+            "{count:>5} connections, {ahead:>3} in hand at each: {:.3} CPU s per 100,000 deliveries ({:.0} a CPU second), {:.0} a second",
             used * 100_000.0 / items as f64,
             items as f64 / used,
             items as f64 / run.seconds
--- a/tests/amqp_sending.rs
+++ b/tests/amqp_sending.rs
@@ -5,7 +5,8 @@
 use peers::*;
 use rstest::rstest;
 use sparbank_amqp::{
-    condition, Attach, Detach, Disposition, Flow, Source, State, Tag, Target, Terminus, Transfer,
+    condition, Attach, Detach, Disposition, Flow, Performative, Source, State, Tag, Target, Terminus,
+    Transfer,
 };
 use std::time::{Duration, Instant};
 
@@ -560,3 +561,50 @@
     server.settle(id, State::Accepted);
     assert_eq!(answer(&mut usual), State::Accepted);
 }
+
+/// Three messages of 1 MiB at once, to a region that reads slowly: what is held stays within its bound.
+#[rstest]
+fn a_region_that_reads_slowly_holds_its_terminals_up_and_not_the_nodes_memory() {
+    let on = r#"{"listen":"127.0.0.1:0","max_held":400000,"max_message":2000000}"#;
+    let mut bench = Bench::with(vec![listener()], Some(on));
+    let sent = message(60_000, "7f3a", &vec![7; 1024 * 1024]);
+    let clients: Vec<AmqpPeer> = (0..3).map(|_| client(&bench)).collect();
+    let writing: Vec<_> = clients
+        .into_iter()
+        .map(|mut client| {
+            let sent = sent.clone();
+            std::thread::spawn(move || {
+                deliver_in_parts(&mut client, 0, &sent, 12_000);
+                answer(&mut client)
+            })
+        })
+        .collect();
+    let mut server = AmqpPeer::server(Peer::accept(&bench.regions[0]), 100_000, 16_384);
+    let (mut whole, mut sizes) = (0, std::collections::HashMap::<u32, usize>::new());
+    while whole < 3 {
+        match server.next() {
+            (Performative::Attach(attach), _) => {
+                let (name, handle, target) = (attach.name, attach.handle, attach.target);
+                server.put(Attach { name, handle, role: Some(true), target, ..Default::default() });
+                server.grant_wide(handle.expect("a handle"), 10);
+            }
+            (Performative::Transfer(transfer), payload) => {
+                std::thread::sleep(Duration::from_millis(3));
+                let size = sizes.entry(transfer.handle.expect("a handle")).or_default();
+                *size += payload.len();
+                if transfer.more != Some(true) {
+                    assert!(*size > 1024 * 1024, "{size}");
+                    *size = 0;
+                    server.settle(whole, State::Accepted);
+                    whole += 1;
+                }
+            }
+            _ => {}
+        }
+    }
+    for hand in writing {
+        assert_eq!(hand.join().expect("a terminal's thread"), State::Accepted);
+    }
+    let held = value(&bench.front_counters("amqp"), "held_most");
+    assert!(held < 450_000, "{held} octets were held");
+}
--- a/tests/peers/amqp.rs
+++ b/tests/peers/amqp.rs
@@ -248,6 +248,20 @@
         });
     }
 
+    /// Grants credit on a link, with room for all that may come.
+    pub fn grant_wide(&mut self, handle: u32, credit: u32) {
+        self.put(amqp::Flow {
+            next_incoming_id: Some(0),
+            incoming_window: Some(1_000_000),
+            next_outgoing_id: Some(0),
+            outgoing_window: Some(100),
+            handle: Some(handle),
+            delivery_count: Some(0),
+            link_credit: Some(credit),
+            ..Default::default()
+        });
+    }
+
     /// Accepts the node's receiving link, as a server that sends on it at this handle.
     pub fn source(&mut self, handle: u32) -> Attach {
         let (attach, _) = until!(self, Attach);
