Bound what waits in the clear under TLS as what waits in a socket is

Cause: read again for bounds missing on what comes from outside: a terminal under TLS that is not taken on for want of memory was still read and decrypted, and what came in the clear was kept without end.

Change: while a frame's worth waits in the clear nothing more is decrypted; what the socket holds then is taken up once there is room.

--- a/src/front/amqp/from_terminals.rs
+++ b/src/front/amqp/from_terminals.rs
@@ -78,7 +78,11 @@
         if ctx.net.unwritten(token) >= SLOW {
             return ctx.net.rearm(token);
         }
-        let mut bytes = ctx.net.input(token).map(std::mem::take).unwrap_or_default();
+        // What is in the clear and waits for room is bounded as what waits in the socket is.
+        let most = self.config.max_frame as usize + 1024;
+        let full = self.terminals.get(token).is_some_and(|t| t.tls.is_some() && t.clear.len() >= most);
+        let input = ctx.net.input(token).filter(|_| !full);
+        let mut bytes = input.map(std::mem::take).unwrap_or_default();
         let mut fault = None;
         if let Some(Terminal { tls: Some(tls), clear, .. }) = self.terminals.get(token) {
             let mut all = std::mem::take(clear);
@@ -117,7 +121,12 @@
             crate::log::line(format_args!("amqp-terminal-fault condition={} {}", why.condition, why.words));
             terminal.conn.close(Some(Box::new(why.into())));
         }
+        let room = full && terminal.clear.len() < most;
         self.terminals.touch(token);
+        if room && ctx.net.input(token).is_some_and(|input| !input.is_empty()) {
+            // No notice comes again for what is here already.
+            return self.read_terminal(ctx, token);
+        }
         if ctx.net.at_end(token) {
             return self.terminal_gone(ctx, token);
         }
