Answer operators at a second address, and send terminals away on drain until resume

Cause: nothing listened at `operator`; ruled out that PING or MOVE were at fault (the SIGTERM path moves what stands, all stories hold).

Design: src/lifecycle.rs (no I/O) owns when terminals are moved, answered and the process ends, for drain, resume and SIGTERM alike (before: `Leaving` in node.rs). src/operator: callers on the loop, heads by httparse, eight descriptors set aside in net, the longest idle makes room, its notices first. Not taken: a thread of its own for calls (it would need to share the loop's state, and a second stack in 32 MB); counting callers among all sockets (a crowd of terminals would have closed them). /-/ready while drained says yes, as the page has it: this process can serve.

Tests: tests/operator.rs, src/lifecycle.rs, src/operator/call.rs.

--- a/src/config.rs
+++ b/src/config.rs
@@ -12,6 +12,8 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// Where operators call; none where it is not told.
+    pub operator: Option<SocketAddr>,
     pub discovery: SocketAddr,
     /// Discovery as the file names it: `NODE_DISCOVERY` may have won over it at the start.
     filed_discovery: SocketAddr,
@@ -65,6 +67,7 @@
 struct File<'a> {
     name: String,
     listen: SocketAddr,
+    operator: Option<SocketAddr>,
     discovery: SocketAddr,
     #[serde(default)]
     seed: String,
@@ -103,7 +106,8 @@
 }
 
 impl Config {
-    /// Reads `NODE_CONFIG`; `NODE_NAME`, `NODE_LISTEN` and `NODE_DISCOVERY` win where they are set.
+    /// Reads `NODE_CONFIG`; `NODE_NAME`, `NODE_LISTEN`, `NODE_OPERATOR` and `NODE_DISCOVERY` win where they
+    /// are set.
     pub fn from_env() -> Result<Config, String> {
         let path = std::env::var("NODE_CONFIG").map_err(|_| "NODE_CONFIG: not set".to_string())?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
@@ -111,8 +115,9 @@
         if let Ok(name) = std::env::var("NODE_NAME") {
             config.name = name;
         }
-        config.listen = address("NODE_LISTEN", config.listen)?;
-        config.discovery = address("NODE_DISCOVERY", config.discovery)?;
+        config.listen = address("NODE_LISTEN")?.unwrap_or(config.listen);
+        config.operator = address("NODE_OPERATOR")?.or(config.operator);
+        config.discovery = address("NODE_DISCOVERY")?.unwrap_or(config.discovery);
         Ok(config)
     }
 
@@ -138,6 +143,7 @@
         let kept = [
             ("name", new.name != self.name),
             ("listen", new.listen != self.listen),
+            ("operator", new.operator != self.operator),
             ("seed", new.seed != self.seed),
         ];
         fixed.extend(kept.iter().filter(|(_, differs)| *differs).map(|(field, _)| *field));
@@ -161,6 +167,7 @@
         Ok(Config {
             name: file.name,
             listen: file.listen,
+            operator: file.operator,
             discovery: file.discovery,
             filed_discovery: file.discovery,
             seed,
@@ -172,9 +179,9 @@
     }
 }
 
-fn address(variable: &str, otherwise: SocketAddr) -> Result<SocketAddr, String> {
+fn address(variable: &str) -> Result<Option<SocketAddr>, String> {
     match std::env::var(variable) {
-        Ok(text) => text.parse().map_err(|e| format!("{variable}: {e}")),
-        Err(_) => Ok(otherwise),
+        Ok(text) => text.parse().map(Some).map_err(|e| format!("{variable}: {e}")),
+        Err(_) => Ok(None),
     }
 }
--- a/src/core.rs
+++ b/src/core.rs
@@ -252,9 +252,10 @@
         }
     }
 
-    /// The node ends: what still waits for an answer gets one, and it promises nothing.
-    pub fn abandon(&mut self, now: Nanos) -> Vec<Command> {
-        let waiting = |t: &Transaction| !matches!(t.state, State::Up { .. });
+    /// The node ends or is drained: what came before a time and still waits for an answer gets one, and it
+    /// promises nothing.
+    pub fn abandon(&mut self, now: Nanos, before: Nanos) -> Vec<Command> {
+        let waiting = |t: &Transaction| !matches!(t.state, State::Up { .. }) && t.began < before;
         let mut ids: Vec<_> =
             self.transactions.iter().filter(|(_, t)| waiting(t)).map(|(id, _)| *id).collect();
         ids.sort_unstable();
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -62,6 +62,13 @@
     list_calls,
     /// Failed calls to discovery and lost watches.
     list_failed,
+    /// Operators' calls that sent terminals away, and that took them again.
+    drains,
+    resumes,
+    /// Operators' calls answered yes, answered no, and never whole.
+    operator_yes,
+    operator_no,
+    operator_unheard,
 }
 
 impl Counters {
--- a/src/front/amqp/mod.rs
+++ b/src/front/amqp/mod.rs
@@ -358,6 +358,12 @@
         self.look_at_terminals(ctx);
     }
 
+    fn stay(&mut self, _ctx: &mut Ctx) {
+        if std::mem::take(&mut self.leaving) {
+            self.grant_all();
+        }
+    }
+
     fn take_over(&mut self, new: Box<dyn Any>) -> Vec<&'static str> {
         let Ok(new) = new.downcast::<AmqpConfig>() else { return Vec::new() };
         let mut fixed = if new.listen == self.config.listen { Vec::new() } else { vec!["amqp listen"] };
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -25,6 +25,8 @@
     pub wheel: &'a mut Wheel<Due>,
     pub facts: &'a Facts,
     pub classes: &'a [Class],
+    /// Whether whoever deals terminals out is to send some here.
+    pub takes_terminals: bool,
 }
 
 /// What is on the wheel.
@@ -40,8 +42,10 @@
     Timer(FrontId, Token),
     /// Time to look after things that are watched coarsely.
     Look,
-    /// The next step of leaving.
+    /// The next step of sending terminals away.
     Leave,
+    /// An operator's call should be whole by now.
+    Operator(Token),
 }
 
 /// Answers arrive before the deadline: the wheel, the loop and the way back to the terminal take this
@@ -75,8 +79,10 @@
     fn look(&mut self, _ctx: &mut Ctx) {}
     /// The end of a turn: what was gathered for the same socket is written in one go.
     fn flush(&mut self, _ctx: &mut Ctx) {}
-    /// The node is leaving; called at each step.
+    /// Terminals are sent away, for a while or for good; called at each step.
     fn leave(&mut self, _ctx: &mut Ctx) {}
+    /// The node takes terminals again.
+    fn stay(&mut self, _ctx: &mut Ctx) {}
     /// Takes a newer file over, which [`Optional::read`] gave. Names what only a restart could change.
     fn take_over(&mut self, _new: Box<dyn Any>) -> Vec<&'static str> {
         Vec::new()
--- a/src/front/text.rs
+++ b/src/front/text.rs
@@ -98,7 +98,9 @@
                             Some(Side::Fresh(pings)) if *pings < PINGS => *pings += 1,
                             _ => return self.malformed(ctx, token),
                         }
-                        ctx.net.send(token, b"PONG\r\n");
+                        // What is not PONG tells the front that deals terminals out to send none here.
+                        let word: &[u8] = if ctx.takes_terminals { b"PONG\r\n" } else { b"BUSY\r\n" };
+                        ctx.net.send(token, word);
                     }
                     Some(FirstLine::Open(open)) => return self.open(ctx, token, open),
                     None => return self.malformed(ctx, token),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,9 +71,11 @@
 mod flow_export;
 mod front;
 pub mod interface;
+mod lifecycle;
 mod log;
 mod net;
 mod node;
+mod operator;
 mod service_table;
 pub mod wire;
 
--- /dev/null
+++ b/src/lifecycle.rs
@@ -0,0 +1,252 @@
+//! What this process does with its terminals: it serves, sends them away (drain), or leaves for good.
+//!
+//! Drain, resume, SIGTERM and the hand-over to a successor share one owner here: who is moved by when, what
+//! still waits is answered by when, and when the process ends. No I/O; time comes as an argument.
+
+use crate::interface::Nanos;
+
+/// How far apart the steps are in which standing terminals are moved.
+pub const STEP: Nanos = 25_000_000;
+/// Terminals are moved from this long on, while arrivals still come: moved earlier, they would come back here.
+const MOVE_FROM: Nanos = 300_000_000;
+/// A drained node holds nothing any more this long after the call.
+const DRAINED_AFTER: Nanos = 4_000_000_000;
+/// SIGKILL comes this long after SIGTERM, beside the longest deadline, of which no more counts than
+/// `LONGEST`. It once came on a node that still counted on 3.7 s where the deadlines are 1.2 s.
+const KILL_AFTER: Nanos = 700_000_000;
+const LONGEST: Nanos = 3_000_000_000;
+/// This long before either, all that stood has been told.
+const TOLD_BEFORE: Nanos = 400_000_000;
+/// This long before either, what still waits gets its answer: its deadline is over, or no time is left.
+const ANSWERED_BEFORE: Nanos = 250_000_000;
+/// This long before SIGKILL, the node ends, whoever has not yet read what it was told.
+const ENDS_BEFORE: Nanos = 100_000_000;
+
+/// When standing terminals are moved, and when what waits is answered.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Moving {
+    from: Nanos,
+    told: Nanos,
+    answered: Nanos,
+}
+
+impl Moving {
+    fn until(now: Nanos, end: Nanos) -> Moving {
+        let (told, answered) = (end - TOLD_BEFORE, end - ANSWERED_BEFORE);
+        Moving { from: now + MOVE_FROM, told, answered }
+    }
+
+    /// Whichever is earlier holds.
+    fn or_earlier(self, other: Option<Moving>) -> Moving {
+        let Some(other) = other else { return self };
+        Moving {
+            from: self.from.min(other.from),
+            told: self.told.min(other.told),
+            answered: self.answered.min(other.answered),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+enum Phase {
+    #[default]
+    Serving,
+    Draining(Moving),
+    /// It ends then; nothing brings it back.
+    Leaving {
+        moving: Moving,
+        end: Nanos,
+        drained: bool,
+    },
+}
+
+/// The process leaves and cannot take terminals again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct IsLeaving;
+
+/// What a step of moving asks for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Step {
+    /// Arrivals have ended: terminals are moved now.
+    pub begun: bool,
+    /// So many standing terminals are moved now.
+    pub moves: usize,
+    /// What still waits and came before this gets its final answer now; nothing where it is zero.
+    pub answers_before: Nanos,
+}
+
+/// The lifecycle of this process.
+#[derive(Clone, Debug, Default)]
+pub struct Lifecycle {
+    phase: Phase,
+}
+
+impl Lifecycle {
+    /// Sends terminals away from now on. False where it already does: a second call changes nothing.
+    pub fn drain(&mut self, now: Nanos) -> bool {
+        let moving = Moving::until(now, now + DRAINED_AFTER);
+        match &mut self.phase {
+            Phase::Serving => self.phase = Phase::Draining(moving),
+            Phase::Leaving { moving: leaving, drained, .. } if !*drained => {
+                *leaving = leaving.or_earlier(Some(moving));
+                *drained = true;
+            }
+            _ => return false,
+        }
+        true
+    }
+
+    /// Takes terminals again. False where it never stopped.
+    pub fn resume(&mut self) -> Result<bool, IsLeaving> {
+        match self.phase {
+            Phase::Serving => Ok(false),
+            Phase::Draining(_) => {
+                self.phase = Phase::Serving;
+                Ok(true)
+            }
+            Phase::Leaving { .. } => Err(IsLeaving),
+        }
+    }
+
+    /// SIGTERM: the process ends before SIGKILL comes, which the longest deadline tells. False where it
+    /// leaves already.
+    pub fn leave(&mut self, now: Nanos, longest: Nanos) -> bool {
+        let kill = now + longest.min(LONGEST) + KILL_AFTER;
+        let draining = match self.phase {
+            Phase::Leaving { .. } => return false,
+            Phase::Draining(moving) => Some(moving),
+            Phase::Serving => None,
+        };
+        let moving = Moving::until(now, kill).or_earlier(draining);
+        self.phase = Phase::Leaving { moving, end: kill - ENDS_BEFORE, drained: draining.is_some() };
+        true
+    }
+
+    /// Whether the front that deals terminals out is to send some here: what `PING` asks.
+    pub fn takes_terminals(&self) -> bool {
+        matches!(self.phase, Phase::Serving | Phase::Leaving { drained: false, .. })
+    }
+
+    /// Whether the process ends for good.
+    pub fn is_leaving(&self) -> bool {
+        matches!(self.phase, Phase::Leaving { .. })
+    }
+
+    /// What is to be done now for those that stand, so many. None where they stay.
+    pub fn step(&self, now: Nanos, standing: usize) -> Option<Step> {
+        let (moving, leaves) = match self.phase {
+            Phase::Serving => return None,
+            Phase::Draining(moving) => (moving, false),
+            Phase::Leaving { moving, .. } => (moving, true),
+        };
+        if now < moving.from {
+            return Some(Step::default());
+        }
+        let steps = moving.told.saturating_sub(now) / STEP;
+        let moves = standing.div_ceil(steps as usize + 1);
+        // A drained node still serves whoever comes late, and moves it then; one that ends can't.
+        let answers_before = match now >= moving.answered {
+            true if leaves => Nanos::MAX,
+            true => moving.told,
+            false => 0,
+        };
+        Some(Step { begun: true, moves, answers_before })
+    }
+
+    /// Whether the process is to end now: all is told and nothing is open any more, or time is up.
+    pub fn has_left(&self, now: Nanos, idle: bool) -> bool {
+        match self.phase {
+            Phase::Leaving { moving, end, .. } => now >= end || (now >= moving.told && idle),
+            _ => false,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Nanos = 1_000_000;
+    const S: Nanos = 1_000 * MS;
+
+    /// Runs the steps from a time on and says when the last of so many was moved.
+    fn all_moved(lifecycle: &Lifecycle, from: Nanos, mut standing: usize) -> Nanos {
+        let mut now = from;
+        while standing > 0 {
+            now += STEP;
+            let step = lifecycle.step(now, standing).expect("they are moved");
+            assert!(step.moves <= standing && now < from + 10 * S);
+            standing -= step.moves;
+        }
+        now - from
+    }
+
+    #[rstest::rstest]
+    #[case(1)]
+    #[case(40)]
+    #[case(1_000)]
+    #[case(100_000)]
+    fn a_drain_is_spread_over_its_time_and_over_well_before_its_end(#[case] standing: usize) {
+        let mut lifecycle = Lifecycle::default();
+        assert!(lifecycle.takes_terminals() && lifecycle.step(S, standing).is_none());
+        assert!(lifecycle.drain(S) && !lifecycle.takes_terminals());
+        assert_eq!(lifecycle.step(S + 299 * MS, standing), Some(Step::default()), "they would come back");
+        let took = all_moved(&lifecycle, S, standing);
+        assert!(took <= 3_600 * MS, "{took}");
+        let half = lifecycle.step(S + 2 * S, standing).expect("a step").moves;
+        assert!(half <= standing.div_ceil(60), "{half} of {standing} in one step");
+        assert!(!lifecycle.has_left(100 * S, true), "a drained process stays");
+        // Whoever comes to stand later is moved at the next step.
+        assert_eq!(
+            lifecycle.step(60 * S, 7),
+            Some(Step { begun: true, moves: 7, answers_before: S + 3_600 * MS })
+        );
+    }
+
+    #[test]
+    fn a_second_call_changes_nothing_and_resume_ends_it_at_any_point() {
+        let mut lifecycle = Lifecycle::default();
+        assert_eq!(lifecycle.resume(), Ok(false));
+        assert!(lifecycle.drain(S));
+        let before = lifecycle.phase;
+        assert!(!lifecycle.drain(3 * S));
+        assert_eq!(lifecycle.phase, before);
+        assert_eq!(lifecycle.resume(), Ok(true));
+        assert!(lifecycle.takes_terminals() && lifecycle.step(4 * S, 9).is_none());
+        assert!(lifecycle.drain(10 * S));
+        assert_eq!(lifecycle.step(10 * S, 9), Some(Step::default()), "a new drain has its own time");
+    }
+
+    #[rstest::rstest]
+    // SIGTERM at 1 s ends at 2.8 s; a drain at 1 s would have told all at 4.6 s.
+    #[case::term_in_a_drain(S, 2 * S, 2_500 * MS + S)]
+    #[case::term_long_after_a_drain(S, 20 * S, 4_600 * MS)]
+    #[case::drain_after_term(5 * S, S, 2_500 * MS)]
+    fn the_earlier_end_holds(#[case] drain: Nanos, #[case] term: Nanos, #[case] told: Nanos) {
+        let mut lifecycle = Lifecycle::default();
+        if drain < term {
+            assert!(lifecycle.drain(drain) && lifecycle.leave(term, 1_200 * MS));
+        } else {
+            assert!(lifecycle.leave(term, 1_200 * MS) && lifecycle.drain(drain));
+        }
+        assert!(!lifecycle.leave(term + 1, 0) && !lifecycle.takes_terminals());
+        assert_eq!(lifecycle.resume(), Err(IsLeaving));
+        assert!(!lifecycle.has_left(told - 1, true));
+        assert!(lifecycle.has_left(told.max(term), true));
+        assert!(
+            !lifecycle.has_left(term + 1_799 * MS, false) && lifecycle.has_left(term + 1_800 * MS, false)
+        );
+    }
+
+    #[rstest::rstest]
+    #[case(1_200 * MS, 1_900 * MS)]
+    #[case(60 * S, 3_700 * MS)]
+    fn sigterm_answers_and_moves_before_sigkill(#[case] longest: Nanos, #[case] kill: Nanos) {
+        let mut lifecycle = Lifecycle::default();
+        assert!(lifecycle.leave(S, longest) && lifecycle.takes_terminals(), "arrivals still come");
+        assert!(all_moved(&lifecycle, S, 500) <= kill - 400 * MS);
+        let answers = |ms| lifecycle.step(S + kill - ms * MS, 0).expect("a step").answers_before;
+        assert_eq!((answers(251), answers(250)), (0, Nanos::MAX));
+        assert!(lifecycle.has_left(S + kill - 100 * MS, false));
+    }
+}
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -21,6 +21,8 @@
     Table,
     /// The pipe of a signal.
     Signal,
+    /// The operators' address.
+    Operator,
 }
 
 /// A socket's place and its generation: a token outlives its socket without naming the next one.
@@ -36,7 +38,7 @@
     Readable,
     /// All that was to be written is written, after it was not.
     Drained,
-    /// It said nothing of use in time, or nothing yet when descriptors ran short. It is closed already.
+    /// It said nothing of use in time, or nothing yet when its place was needed. It is closed already.
     Evicted,
     /// The connection never came up or broke. The owner takes what it wants and closes it.
     Broken(Remains),
@@ -87,6 +89,8 @@
     ahead: usize,
     /// Where it was accepted.
     listener: Option<Token>,
+    /// It has one of the descriptors that are set aside, or hands them out.
+    reserved: bool,
 }
 
 /// No more than this is read ahead of who takes it, unless the owner asks for more ([`Net::read_ahead`]).
@@ -106,6 +110,9 @@
 const BACKLOG: i32 = 1024;
 /// Less than what is kept free, so that one turn's arrivals never take the last descriptors.
 const ACCEPTS: usize = 16;
+/// The same for those with descriptors set aside: fewer than these, so that each is read before it can
+/// have to make room.
+const RESERVED_ACCEPTS: usize = 4;
 
 /// All sockets of the node.
 pub struct Net {
@@ -117,6 +124,9 @@
     lingering: VecDeque<(Nanos, Token)>,
     /// Accepted, with the time by which each has to be proven, oldest first.
     unproven: VecDeque<(Nanos, Token)>,
+    /// Descriptors set aside, and who has them, the longest idle first.
+    reserve: usize,
+    reserved: VecDeque<Token>,
     resting: Option<Nanos>,
     pending: Vec<Notice>,
     now: Nanos,
@@ -135,6 +145,8 @@
             most,
             lingering: VecDeque::new(),
             unproven: VecDeque::new(),
+            reserve: 0,
+            reserved: VecDeque::new(),
             resting: None,
             pending: Vec::new(),
             now: 0,
@@ -154,7 +166,8 @@
 
     /// Whether descriptors run short: what comes in now is to be turned away.
     pub fn is_short(&self) -> bool {
-        self.open + self.most / 16 + 16 > self.most
+        let open = self.open - self.reserved.len() + self.reserve;
+        open + self.most / 16 + 16 > self.most
     }
 
     /// An accepted peer has said something of use: it is not closed to make room any more.
@@ -214,6 +227,17 @@
         Ok((self.insert(fd, owner, Stage::Listening)?, bound))
     }
 
+    /// Listens for connections that have descriptors set aside, so many at a time: no shortage takes them,
+    /// and among themselves the longest idle makes room. Their notices come first.
+    pub fn listen_reserved(&mut self, addr: SocketAddr, owner: Owner, most: usize) -> io::Result<SocketAddr> {
+        let (token, bound) = self.listen_at(addr, owner)?;
+        if let Some(socket) = self.get(token) {
+            socket.reserved = true;
+        }
+        self.reserve += most;
+        Ok(bound)
+    }
+
     /// Starts a connection. What is sent meanwhile is written once it is up.
     pub fn connect(&mut self, addr: SocketAddr, owner: Owner) -> io::Result<Token> {
         let fd = loop {
@@ -410,7 +434,11 @@
         for event in events {
             self.ready(Token(event.data.u64()), event.flags);
         }
-        Ok(std::mem::take(&mut self.pending))
+        let mut pending = std::mem::take(&mut self.pending);
+        if !self.reserved.is_empty() {
+            pending.sort_by_key(|notice| !self.peek(notice.token).is_some_and(|s| s.reserved));
+        }
+        Ok(pending)
     }
 
     fn ready(&mut self, token: Token, flags: epoll::EventFlags) {
@@ -446,7 +474,8 @@
     }
 
     fn accept(&mut self, listener: Token) {
-        for _ in 0..ACCEPTS {
+        let Some(reserved) = self.get(listener).map(|s| s.reserved) else { return };
+        for _ in 0..if reserved { RESERVED_ACCEPTS } else { ACCEPTS } {
             let Some(socket) = self.get(listener) else { return };
             let owner = socket.owner;
             match rustix::net::accept_with(&socket.fd, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC) {
@@ -456,8 +485,13 @@
                     if let Ok(token) = self.insert(fd, owner, Stage::Open) {
                         self.pending.push(Notice { token, owner, kind: Kind::Accepted });
                         if let Some(socket) = self.get(token) {
-                            socket.unproven = true;
+                            socket.unproven = !reserved;
                             socket.listener = Some(listener);
+                            socket.reserved = reserved;
+                        }
+                        if reserved {
+                            self.seat(token);
+                            continue;
                         }
                         // Room is made by those before it: it has had no time to say anything yet.
                         self.make_room();
@@ -481,6 +515,23 @@
         }
     }
 
+    /// Takes in a connection that has a descriptor set aside. It is read at once: a whole call is not one of
+    /// those that make room.
+    fn seat(&mut self, token: Token) {
+        while self.reserved.len() >= self.reserve {
+            let Some(idle) = self.reserved.pop_front() else { break };
+            if let Some(socket) = self.peek(idle) {
+                if socket.stage != Stage::Lingering {
+                    self.pending.push(Notice { token: idle, owner: socket.owner, kind: Kind::Evicted });
+                }
+                self.drop_socket(idle);
+            }
+        }
+        self.reserved.push_back(token);
+        self.fill(token);
+        self.rearm(token);
+    }
+
     fn arm_listeners(&mut self, interest: epoll::EventFlags) {
         for (index, (generation, socket)) in self.slots.iter_mut().enumerate() {
             if let Some(socket) = socket.as_mut().filter(|s| s.stage == Stage::Listening) {
@@ -521,6 +572,10 @@
             }
             Ok(count) => {
                 socket.input.extend_from_slice(&chunk[..count]);
+                if socket.reserved {
+                    self.reserved.retain(|other| *other != token);
+                    self.reserved.push_back(token);
+                }
                 self.notice(token, Kind::Readable);
             }
             Err(Errno::AGAIN | Errno::INTR) => {}
@@ -618,6 +673,7 @@
             discard,
             ahead,
             listener: None,
+            reserved: false,
         };
         self.slots[index as usize].1 = Some(socket);
         self.open += 1;
@@ -631,7 +687,9 @@
         let (generation, socket) = &mut self.slots[token.index()];
         *generation = generation.wrapping_add(1);
         // Closing the last descriptor takes it out of the epoll set.
-        *socket = None;
+        if socket.take().is_some_and(|socket| socket.reserved) {
+            self.reserved.retain(|other| *other != token);
+        }
         self.free.push(token.index() as u32);
         self.open -= 1;
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,8 +5,10 @@
 use crate::flow_export::FlowExport;
 use crate::front::{Ctx, Due, Files, Fronts};
 use crate::interface::*;
+use crate::lifecycle::{self, Lifecycle};
 use crate::log;
 use crate::net::{Kind, Net, Notice, Owner, Token, Wheel};
+use crate::operator::{Answer, Call, Operator};
 use crate::service_table::ServiceTable;
 use std::io;
 use std::net::SocketAddr;
@@ -16,19 +18,6 @@
 
 /// The loop looks after silent peers this often.
 const LOOK_EVERY: Nanos = 200_000_000;
-/// Standing terminals are sent away from this long after SIGTERM, while arrivals still come.
-const LEAVE_FROM: Nanos = 300_000_000;
-const LEAVE_STEP: Nanos = 25_000_000;
-/// SIGKILL comes this long after SIGTERM, beside the longest deadline, of which no more counts than
-/// `LONGEST`. It once came on a node that still counted on 3.7 s where the deadlines are 1.2 s.
-const KILL_AFTER: Nanos = 700_000_000;
-const LONGEST: Nanos = 3_000_000_000;
-/// This long before it, all that stood has been told.
-const TOLD_BEFORE: Nanos = 400_000_000;
-/// This long before it, what still waits gets its answer: its deadline is over, or no time is left.
-const ANSWERED_BEFORE: Nanos = 250_000_000;
-/// This long before it, the node ends, whoever has not yet read what it was told.
-const ENDS_BEFORE: Nanos = 100_000_000;
 
 /// The module's clock: Unix time at the start, and from there on the steady clock.
 struct Clock {
@@ -59,15 +48,10 @@
     fronts: Fronts,
     export: Option<FlowExport>,
     signals: Signals,
-    leaving: Option<Leaving>,
-}
-
-/// When the steps of leaving come.
-#[derive(Clone, Copy)]
-struct Leaving {
-    told: Nanos,
-    answered: Nanos,
-    end: Nanos,
+    operator: Option<Operator>,
+    lifecycle: Lifecycle,
+    /// A step of moving is on the wheel.
+    stepping: bool,
 }
 
 struct Signals {
@@ -86,6 +70,7 @@
             wheel: &mut $node.wheel,
             facts: &$node.config.facts,
             classes: &$node.config.settings.classes,
+            takes_terminals: $node.lifecycle.takes_terminals(),
         }
     };
 }
@@ -131,6 +116,12 @@
         let line = fronts.open(which, file, &mut net, &config.name, &config.facts)?;
         log::line(format_args!("{line}"));
     }
+    let mut operator = None;
+    if let Some(at) = config.operator {
+        let (opened, listen) = Operator::open(&mut net, at).map_err(|e| format!("operator: {at}: {e}"))?;
+        log::line(format_args!("operator listen={listen}"));
+        operator = Some(opened);
+    }
     let mut export = None;
     if let Some(collector) = ipfix {
         let domain = crate::wire::tag(&config.name) as u32;
@@ -141,8 +132,23 @@
     let clock = Clock::new();
     let mut wheel = Wheel::new(clock.now());
     wheel.at(clock.now(), Due::Look);
-    let leaving = None;
-    Node { clock, net, core, table, wheel, config, files, fronts, export, signals, leaving }.run()
+    let (lifecycle, stepping) = (Lifecycle::default(), false);
+    let node = Node {
+        clock,
+        net,
+        core,
+        table,
+        wheel,
+        config,
+        files,
+        fronts,
+        export,
+        signals,
+        operator,
+        lifecycle,
+        stepping,
+    };
+    node.run()
 }
 
 fn signal(net: &mut Net, signals: &[i32]) -> io::Result<Token> {
@@ -187,6 +193,19 @@
                     self.listed(event);
                 }
             }
+            Owner::Operator => {
+                let now = self.clock.now();
+                let call = self
+                    .operator
+                    .as_mut()
+                    .and_then(|o| o.notice(now, &mut self.net, &mut self.wheel, notice));
+                if let Some(call) = call {
+                    let answer = self.called(now, call);
+                    if let Some(operator) = &mut self.operator {
+                        operator.answer(&mut self.net, notice.token, &answer);
+                    }
+                }
+            }
             Owner::Signal => {
                 if let Some(input) = self.net.input(notice.token) {
                     input.clear();
@@ -196,20 +215,52 @@
                     self.print_counters();
                 } else if notice.token == self.signals.reload {
                     self.reload();
-                } else if notice.token == self.signals.stop && self.leaving.is_none() {
-                    log::line(format_args!("leaving standing={}", self.core.standing().len()));
-                    let now = self.clock.now();
+                } else if notice.token == self.signals.stop {
                     let longest = self.config.settings.classes.iter().map(|c| c.hard_limit).max();
-                    let kill = now + longest.unwrap_or(0).min(LONGEST) + KILL_AFTER;
-                    let (told, answered, end) =
-                        (kill - TOLD_BEFORE, kill - ANSWERED_BEFORE, kill - ENDS_BEFORE);
-                    self.leaving = Some(Leaving { told, answered, end });
-                    self.wheel.at(now + LEAVE_FROM, Due::Leave);
+                    if self.lifecycle.leave(self.clock.now(), longest.unwrap_or(0)) {
+                        log::line(format_args!("leaving standing={}", self.core.standing().len()));
+                        self.begin_steps();
+                    }
                 }
             }
         }
     }
 
+    /// What an operator's call does, and its answer.
+    fn called(&mut self, now: Nanos, call: Call) -> Answer {
+        match call {
+            Call::Ready if self.lifecycle.is_leaving() => Answer::new(503, "leaving"),
+            Call::Ready => Answer::new(200, "ready"),
+            Call::Drain => {
+                let standing = self.core.standing().len();
+                if self.lifecycle.drain(now) {
+                    self.core.counters.drains += 1;
+                    log::line(format_args!("draining standing={standing}"));
+                    self.begin_steps();
+                }
+                Answer::new(200, format!("draining standing={standing}"))
+            }
+            Call::Resume => match self.lifecycle.resume() {
+                Ok(drained) => {
+                    if drained {
+                        self.core.counters.resumes += 1;
+                        log::line(format_args!("resumed standing={}", self.core.standing().len()));
+                        fronts!(self, stay);
+                    }
+                    Answer::new(200, "serving")
+                }
+                Err(lifecycle::IsLeaving) => Answer::new(409, "leaving: start it again"),
+            },
+        }
+    }
+
+    /// From now on there are steps, until terminals stay again.
+    fn begin_steps(&mut self) {
+        if !std::mem::replace(&mut self.stepping, true) {
+            self.wheel.at(self.clock.now(), Due::Leave);
+        }
+    }
+
     /// SIGHUP: the configuration is read again. What is wrong changes nothing; what is right changes what
     /// a running node can change. Terminals that stand and regions that are known stay.
     fn reload(&mut self) {
@@ -269,6 +320,11 @@
                 self.wheel.at(now + LOOK_EVERY, Due::Look);
             }
             Due::Leave => self.leave(),
+            Due::Operator(token) => {
+                if let Some(operator) = &mut self.operator {
+                    operator.due(&mut self.net, token);
+                }
+            }
         }
     }
 
@@ -278,33 +334,31 @@
         }
     }
 
-    /// One step of leaving: of those that stand, so many are moved that all have been by the end.
+    /// One step of sending terminals away: of those that stand, so many are moved that all have been by the end.
     fn leave(&mut self) {
-        let Some(leaving) = self.leaving else { return };
-        let now = self.clock.now();
-        fronts!(self, leave);
-        if now >= leaving.answered {
-            for command in self.core.abandon(now) {
-                self.carry_out(now, command);
-            }
+        let (now, standing) = (self.clock.now(), self.core.standing());
+        let Some(step) = self.lifecycle.step(now, standing.len()) else {
+            self.stepping = false;
+            return;
+        };
+        if step.begun {
+            fronts!(self, leave);
         }
-        let standing = self.core.standing();
-        let steps = leaving.told.saturating_sub(now) / LEAVE_STEP;
-        let count = standing.len().div_ceil(steps as usize + 1);
-        for txn in standing.into_iter().take(count) {
+        for command in self.core.abandon(now, step.answers_before) {
+            self.carry_out(now, command);
+        }
+        for txn in standing.into_iter().take(step.moves) {
             if let Some(id) = self.core.moved(now, txn, Outcome::Cancelled) {
                 front!(self, id, send_away, txn);
             }
         }
-        self.wheel.at(now + LEAVE_STEP, Due::Leave);
+        self.wheel.at(now + lifecycle::STEP, Due::Leave);
     }
 
     fn has_left(&self) -> bool {
-        let Some(leaving) = self.leaving else { return false };
-        let now = self.clock.now();
         // Exiting resets what still lingers, and a reset may eat the MOVE that it has not read.
-        let idle = self.core.is_idle() && self.fronts.are_idle() && self.net.is_quiet();
-        now >= leaving.end || (now >= leaving.told && idle)
+        let idle = || self.core.is_idle() && self.fronts.are_idle() && self.net.is_quiet();
+        self.lifecycle.is_leaving() && self.lifecycle.has_left(self.clock.now(), idle())
     }
 
     /// Hands the core all there is, carries out what comes back, and has the fronts write what they
@@ -343,6 +397,11 @@
 
     fn print_counters(&mut self) {
         self.core.counters.list_calls = self.table.calls;
+        if let Some(counts) = self.operator.as_ref().map(Operator::counts) {
+            let counters = &mut self.core.counters;
+            (counters.operator_yes, counters.operator_no, counters.operator_unheard) =
+                (counts.yes, counts.no, counts.unheard);
+        }
         log::line(format_args!("{}", self.core.counters));
         for line in self.fronts.counters() {
             log::line(format_args!("{line}"));
--- /dev/null
+++ b/src/operator/mod.rs
@@ -0,0 +1,119 @@
+//! The second address: operators' calls over HTTP/1.1, one to a connection, on the loop.
+//!
+//! Callers have descriptors of their own ([`Net::listen_reserved`]), so that no crowd of terminals takes
+//! them; among callers the longest idle makes room. What a call does is the loop's to say.
+
+mod call;
+
+pub use call::{Answer, Call};
+
+use crate::front::Due;
+use crate::interface::Nanos;
+use crate::net::{Kind, Net, Notice, Owner, Token, Wheel};
+use call::Head;
+use std::collections::HashSet;
+use std::io;
+use std::net::SocketAddr;
+
+/// Callers at a time; each has a descriptor set aside.
+const MOST_CALLERS: usize = 8;
+/// A call that is not whole after this is answered as such. An answer is due within 1 s of a whole one.
+const WHOLE_WITHIN: Nanos = 2_500_000_000;
+
+/// The operators' address.
+pub struct Operator {
+    /// Whose call is not whole yet.
+    callers: HashSet<Token>,
+    counts: Counts,
+}
+
+/// Calls answered so far, and what became of the rest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub yes: u64,
+    pub no: u64,
+    /// Left, or closed for a later one's sake, before the call was whole.
+    pub unheard: u64,
+}
+
+impl Operator {
+    /// Listens there; says where.
+    pub fn open(net: &mut Net, at: SocketAddr) -> io::Result<(Operator, SocketAddr)> {
+        let at = net.listen_reserved(at, Owner::Operator, MOST_CALLERS)?;
+        Ok((Operator { callers: HashSet::new(), counts: Counts::default() }, at))
+    }
+
+    /// Something happened at one of its sockets. Gives a call that is whole now.
+    pub fn notice(
+        &mut self,
+        now: Nanos,
+        net: &mut Net,
+        wheel: &mut Wheel<Due>,
+        notice: Notice,
+    ) -> Option<Call> {
+        let token = notice.token;
+        match notice.kind {
+            Kind::Accepted => {
+                self.callers.insert(token);
+                wheel.at(now + WHOLE_WITHIN, Due::Operator(token));
+                None
+            }
+            Kind::Evicted => {
+                self.unheard(token);
+                None
+            }
+            Kind::Broken(_) => {
+                self.unheard(token);
+                net.close(token);
+                None
+            }
+            Kind::Readable | Kind::Drained => self.read(net, token),
+        }
+    }
+
+    fn read(&mut self, net: &mut Net, token: Token) -> Option<Call> {
+        if !self.callers.contains(&token) {
+            return None;
+        }
+        let at_end = net.at_end(token);
+        let bytes = net.input(token)?;
+        match call::read(bytes) {
+            Head::Call(call) => return Some(call),
+            Head::Wrong(answer) => self.answer(net, token, &answer),
+            Head::More if at_end && bytes.is_empty() => {
+                self.unheard(token);
+                net.close(token);
+            }
+            Head::More if at_end => self.answer(net, token, &Answer::new(400, "half a call")),
+            Head::More => net.rearm(token),
+        }
+        None
+    }
+
+    /// The time for a call is over.
+    pub fn due(&mut self, net: &mut Net, token: Token) {
+        if self.callers.contains(&token) {
+            self.answer(net, token, &Answer::new(408, "no whole call came"));
+        }
+    }
+
+    /// Answers a call and ends its connection.
+    pub fn answer(&mut self, net: &mut Net, token: Token, answer: &Answer) {
+        self.callers.remove(&token);
+        let count = if answer.is_yes() { &mut self.counts.yes } else { &mut self.counts.no };
+        *count += 1;
+        net.send(token, &answer.to_bytes());
+        net.close(token);
+    }
+
+    /// Calls answered so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    fn unheard(&mut self, token: Token) {
+        if self.callers.remove(&token) {
+            self.counts.unheard += 1;
+        }
+    }
+}
--- /dev/null
+++ b/tests/operator.rs
@@ -0,0 +1,154 @@
+//! Stories over loopback for the second address: operators' calls, drain and resume.
+
+mod peers;
+
+use peers::*;
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::process::Output;
+use std::time::Duration;
+
+/// A node with an operators' address, and that address.
+fn node(regions: usize) -> (Bench, SocketAddr) {
+    let regions = (0..regions).map(|_| listener()).collect();
+    let mut bench = Bench::with_args(regions, None, &[], |text| {
+        text.replace(r#""listen":"#, r#""operator":"127.0.0.1:0","listen":"#)
+    });
+    let line = bench.logged("operator");
+    let at = line.split("listen=").nth(1).and_then(|at| at.parse().ok());
+    (bench, at.expect("an address in the log"))
+}
+
+/// The rest of an answer: its status and all of its text, up to the end of the connection.
+fn answer(caller: &mut Peer) -> (u16, String) {
+    let line = caller.line();
+    let status = line.split(' ').nth(1).and_then(|word| word.parse().ok());
+    let mut text = String::new();
+    while !caller.line().is_empty() {}
+    // The head ends with an empty line; what follows is one line and the end.
+    text.push_str(&caller.line());
+    caller.ends();
+    (status.unwrap_or_else(|| panic!("no answer: {line:?}")), text)
+}
+
+fn call(at: SocketAddr, head: &str) -> (u16, String) {
+    answer(Peer::connect(at).say(&format!("{head} HTTP/1.1\r\nHost: node\r\n\r\n")))
+}
+
+fn says(bench: &Bench) -> String {
+    Peer::connect(bench.addr).say("PING\r\n").line()
+}
+
+#[rstest]
+#[case("GET /-/ready", 200, "ready")]
+#[case("GET /-/nothing", 404, "known: GET /-/ready, POST /-/drain, POST /-/resume")]
+#[case("GET /-/drain", 405, "this takes POST")]
+#[case("POST /-/resume", 200, "serving")]
+fn each_call_has_one_answer_however_it_comes(#[case] head: &str, #[case] status: u16, #[case] text: &str) {
+    let (bench, at) = node(1);
+    assert_eq!(call(at, head), (status, text.to_string()));
+    let mut slow = Peer::connect(at);
+    for byte in format!("{head} HTTP/1.1\r\nHost: node\r\nContent-Length: 0\r\n\r\n").chars() {
+        slow.say(&byte.to_string());
+    }
+    assert_eq!(answer(&mut slow), (status, text.to_string()));
+    let counters = bench.stop();
+    let counts = ["operator_yes", "operator_no"].map(|name| value(&counters, name));
+    assert_eq!(counts, if status == 200 { [2, 0] } else { [0, 2] });
+}
+
+/// Callers that say nothing, or half a call, and stay; and a crowd of terminals that takes every descriptor.
+#[rstest]
+fn who_stays_silent_holds_up_no_call() {
+    let (mut bench, at) = node(1);
+    let _crowd: Vec<Peer> = (0..400).map(|_| Peer::connect(bench.addr)).collect();
+    let mut stay: Vec<Peer> = Vec::new();
+    for number in 0..50 {
+        let mut caller = Peer::connect(at);
+        caller.say(if number % 2 == 0 { "" } else { "GET /-/re" });
+        stay.push(caller);
+        assert_eq!(call(at, "GET /-/ready").0, 200, "after {number}");
+    }
+    // The longest idle made room; the last ones are told that no call came.
+    stay[0].ends();
+    let last = stay.last_mut().expect("fifty");
+    assert_eq!(answer(last), (408, "no whole call came".to_string()));
+    let counters = bench.counters();
+    assert_eq!((counters["operator_yes"], counters["operator_unheard"] >= 42), (50, true));
+}
+
+/// The first terminal stands; what is still placed during the drain stands, then is moved like the others.
+#[rstest]
+fn a_drain_sends_away_all_that_stands_and_a_second_call_changes_nothing() {
+    let (mut bench, at) = node(1);
+    let (mut first, _task) = standing(&bench, 1);
+    assert_eq!(says(&bench), "PONG");
+    assert_eq!(call(at, "POST /-/drain"), (200, "draining standing=1".to_string()));
+    assert_eq!(says(&bench), "BUSY");
+    let (mut second, _other) = standing(&bench, 2);
+    assert_eq!(call(at, "POST /-/drain").0, 200);
+    assert_eq!([first.line(), second.line()], ["MOVE", "MOVE"]);
+    first.ends();
+    // It goes on: who comes late is served and moved.
+    let (mut late, _other) = standing(&bench, 3);
+    assert_eq!(late.line(), "MOVE");
+    assert_eq!(call(at, "GET /-/ready").0, 200, "this process could serve");
+    let counters = bench.counters();
+    let counts = ["drains", "resumes", "served", "moved"].map(|name| counters[name]);
+    assert_eq!(counts, [1, 0, 3, 3]);
+}
+
+#[rstest]
+fn resume_keeps_what_stands_and_takes_terminals_at_once() {
+    let (mut bench, at) = node(1);
+    let (mut terminal, mut task) = standing(&bench, 1);
+    assert_eq!(call(at, "POST /-/drain").0, 200);
+    assert_eq!(call(at, "POST /-/resume"), (200, "serving".to_string()));
+    assert_eq!(says(&bench), "PONG");
+    // One that stands alone would have been moved by then: the drain's time is over.
+    std::thread::sleep(Duration::from_millis(3_700));
+    terminal.say("M 1 x\r\n");
+    assert_eq!(task.line(), "M 1 x");
+    assert_eq!((bench.counter("moved"), bench.counter("resumes")), (0, 1));
+}
+
+#[rstest]
+fn a_process_that_leaves_says_so() {
+    let (mut bench, at) = node(1);
+    let (mut terminal, _task) = standing(&bench, 1);
+    bench.signal("-TERM");
+    bench.logged("leaving");
+    assert_eq!(call(at, "POST /-/resume").0, 409);
+    assert_eq!(call(at, "GET /-/ready").0, 503);
+    assert_eq!(call(at, "POST /-/drain").0, 200);
+    assert_eq!(says(&bench), "BUSY");
+    assert_eq!(terminal.line(), "MOVE");
+    assert!(bench.child.wait().expect("it ends").success());
+}
+
+/// What a node says that does not start with this operators' address.
+fn refused(operator: &str) -> Output {
+    let text = config(listener().local_addr().expect("an address"), "", 256)
+        .replace(r#""listen":"#, &format!(r#""operator":"{operator}","listen":"#));
+    program(&["serve"], &file("node.json", &text)).output().expect("it ends")
+}
+
+#[rstest]
+fn an_address_that_is_none_or_is_taken_is_named() {
+    let said = |output: &Output| String::from_utf8_lossy(&output.stderr).into_owned();
+    let wrong = refused("elsewhere");
+    assert_eq!(wrong.status.code(), Some(2), "{}", said(&wrong));
+    assert!(said(&wrong).contains("node.json: field operator: "), "{}", said(&wrong));
+    let other = listener();
+    let taken = refused(&other.local_addr().expect("an address").to_string());
+    assert_eq!(taken.status.code(), Some(1));
+    assert!(said(&taken).contains("error operator: 127.0.0.1:"), "{}", said(&taken));
+}
+
+#[rstest]
+fn a_changed_address_needs_a_restart() {
+    let (mut bench, at) = node(1);
+    bench.reconfigure(|text| text.replace(r#""operator":"127.0.0.1:0""#, r#""operator":"127.0.0.1:1""#));
+    assert_eq!(bench.logged("reload-needs-restart"), "sparbank reload-needs-restart fields=operator");
+    assert_eq!(call(at, "GET /-/ready").0, 200);
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -90,6 +90,16 @@
     panic!("nothing came")
 }
 
+/// A new terminal with this number stands at whichever region.
+pub fn standing(bench: &Bench, number: u64) -> (Peer, Peer) {
+    let mut terminal = bench.terminal(&open(number));
+    let (_, mut task) = accept_any(&bench.regions);
+    task.line();
+    task.say("UP r1\r\n");
+    assert_eq!(terminal.line(), "UP r1");
+    (terminal, task)
+}
+
 /// A node with its discovery and its regions.
 pub struct Bench {
     pub child: Child,
@@ -152,7 +162,7 @@
 pub fn program(args: &[&str], config: &std::path::Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_sparbank"));
     command.args(args).env("NODE_CONFIG", config).stdout(Stdio::piped()).stderr(Stdio::piped());
-    for name in ["NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"] {
+    for name in ["NODE_NAME", "NODE_LISTEN", "NODE_OPERATOR", "NODE_DISCOVERY"] {
         command.env_remove(name);
     }
     command
--- a/tests/text.rs
+++ b/tests/text.rs
@@ -14,16 +14,6 @@
     accept_any(&bench.regions)
 }
 
-/// A terminal that stands at its region.
-fn standing(bench: &Bench) -> (Peer, Peer) {
-    let mut terminal = bench.terminal(OPEN);
-    let (_, mut task) = task(bench);
-    task.line();
-    task.say("UP r1\r\n");
-    assert_eq!(terminal.line(), "UP r1");
-    (terminal, task)
-}
-
 #[rstest]
 fn lines_pass_both_ways_unchanged_and_the_end_propagates() {
     let bench = Bench::start(1);
@@ -227,7 +217,7 @@
     let mut call = Peer::accept(&bench.discovery);
     call.say(answer);
     bench.logged("list-lost");
-    let _stands = standing(&bench);
+    let _stands = standing(&bench, 0x9b1f);
     let _watch = bench.watch();
     assert_eq!(bench.counter("list_failed"), 1);
 }
@@ -235,7 +225,7 @@
 #[rstest]
 fn a_region_that_falls_silent_under_a_standing_terminal_has_it_moved() {
     let bench = Bench::start(1);
-    let (mut terminal, mut task) = standing(&bench);
+    let (mut terminal, mut task) = standing(&bench, 0x9b1f);
     terminal.say("M 1 x\r\n");
     assert_eq!([task.line(), terminal.line()], ["M 1 x", "MOVE"]);
     terminal.ends();
@@ -245,7 +235,7 @@
 #[rstest]
 fn sigterm_answers_what_still_comes_and_moves_what_stands() {
     let mut bench = Bench::start(1);
-    let (mut first, _task) = standing(&bench);
+    let (mut first, _task) = standing(&bench, 0x9b1f);
     bench.signal("-TERM");
     bench.logged("leaving");
     let mut second = bench.terminal(&open(2));
@@ -280,7 +270,7 @@
     let bench = Bench::start(1);
     // The node may hold 256 and keeps some for what stands.
     let mut idle: Vec<Peer> = (0..400).map(|_| Peer::connect(bench.addr)).collect();
-    let _stands = standing(&bench);
+    let _stands = standing(&bench, 0x9b1f);
     idle[0].ends();
     let counters = bench.stop();
     assert_eq!([value(&counters, "over_budget"), value(&counters, "served")], [0, 1]);
@@ -321,7 +311,7 @@
 #[rstest]
 fn the_id_of_an_open_transaction_is_refused_and_that_one_goes_on() {
     let bench = Bench::start(2);
-    let (mut terminal, mut task) = standing(&bench);
+    let (mut terminal, mut task) = standing(&bench, 0x9b1f);
     assert_eq!(bench.terminal(OPEN).line(), "ERR");
     terminal.say("M 1 x\r\n");
     assert_eq!(task.line(), "M 1 x");
@@ -329,7 +319,7 @@
     task.ends();
     drop(task);
     // Over, it is free again.
-    let _stands = standing(&bench);
+    let _stands = standing(&bench, 0x9b1f);
     let counters = bench.stop();
     assert_eq!([value(&counters, "malformed"), value(&counters, "taken")], [1, 2]);
 }
@@ -363,7 +353,7 @@
     let bench = Bench::start(1);
     descriptors(&bench, 32);
     let _idle: Vec<Peer> = (0..60).map(|_| Peer::connect(bench.addr)).collect();
-    standing(&bench);
+    standing(&bench, 0x9b1f);
     assert!(value(&bench.stop(), "silent") > 30);
 }
 
