Take the terminals' listening socket that the platform passes, so a new version starts beside the old

Cause: it bound `listen`, which the first one holds; ruled out the operators' address (a new one for each process) and the configuration.

Not taken: SO_REUSEPORT at `listen`, which would leave what waits in the old process's own queue unheard when it ends.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -17,9 +17,12 @@
 pub fn run() -> ExitCode {
     match command() {
         Ok(Command::Serve(options)) => match Loaded::read(&options.fronts) {
-            Ok(loaded) => match crate::node::serve(loaded, options.fronts, options.ipfix) {
-                Ok(()) => ExitCode::SUCCESS,
-                Err(problem) => stop(&problem, 1),
+            Ok(loaded) => match crate::takeover::passed() {
+                Ok(passed) => match crate::node::serve(loaded, options.fronts, options.ipfix, passed) {
+                    Ok(()) => ExitCode::SUCCESS,
+                    Err(problem) => stop(&problem, 1),
+                },
+                Err(problem) => stop(&problem, 2),
             },
             Err(problem) => stop(&problem, 2),
         },
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -10,10 +10,9 @@
 use crate::config::Facts;
 use crate::core::{Core, FrontId};
 use crate::interface::{Class, Nanos, Outcome, RequestId, ServerId};
-use crate::net::{Net, Notice, Owner, Token, Wheel};
+use crate::net::{Net, Notice, Token, Wheel};
 use crate::service_table::ServiceTable;
 use std::any::Any;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 /// What a front works with.
@@ -134,11 +133,6 @@
         Fronts { list: vec![Some(Box::new(text::TextFront::new()))], names: vec![TEXT.name] }
     }
 
-    /// Listens for the platform's front.
-    pub fn listen(&self, net: &mut Net, at: SocketAddr) -> std::io::Result<SocketAddr> {
-        net.listen(at, Owner::Front(TEXT))
-    }
-
     /// Opens an optional front; gives its log line.
     pub fn open(
         &mut self,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 mod node;
 mod operator;
 mod service_table;
+mod takeover;
 pub mod wire;
 
 pub use balance::Balancer;
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -223,10 +223,19 @@
         sockopt::set_socket_reuseaddr(&fd, true)?;
         rustix::net::bind(&fd, &addr)?;
         rustix::net::listen(&fd, BACKLOG)?;
-        let bound = SocketAddr::try_from(rustix::net::getsockname(&fd)?).map_err(|_| Errno::AFNOSUPPORT)?;
+        let bound = bound(&fd)?;
         Ok((self.insert(fd, owner, Stage::Listening)?, bound))
     }
 
+    /// Listens on a socket that listens already, and may be another process's as well.
+    pub fn listen_on(&mut self, fd: OwnedFd, owner: Owner) -> io::Result<SocketAddr> {
+        // Whoever else has it may take in what we were woken for.
+        rustix::io::ioctl_fionbio(&fd, true)?;
+        let bound = bound(&fd)?;
+        self.insert(fd, owner, Stage::Listening)?;
+        Ok(bound)
+    }
+
     /// Listens for connections that have descriptors set aside, so many at a time: no shortage takes them,
     /// and among themselves the longest idle makes room. Their notices come first.
     pub fn listen_reserved(&mut self, addr: SocketAddr, owner: Owner, most: usize) -> io::Result<SocketAddr> {
@@ -724,6 +733,10 @@
     Token((u64::from(generation) << 32) | u64::from(index))
 }
 
+fn bound(fd: &OwnedFd) -> Result<SocketAddr, Errno> {
+    SocketAddr::try_from(rustix::net::getsockname(fd)?).map_err(|_| Errno::AFNOSUPPORT)
+}
+
 fn socket(addr: SocketAddr) -> Result<OwnedFd, Errno> {
     let family = if addr.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
     let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
--- a/src/node.rs
+++ b/src/node.rs
@@ -3,7 +3,7 @@
 use crate::config::{Config, Loaded};
 use crate::core::{Command, Core, FrontId};
 use crate::flow_export::FlowExport;
-use crate::front::{Ctx, Due, Files, Fronts};
+use crate::front::{Ctx, Due, Files, Fronts, TEXT};
 use crate::interface::*;
 use crate::lifecycle::{self, Lifecycle};
 use crate::log;
@@ -94,8 +94,13 @@
     };
 }
 
-/// Serves until it is told to stop.
-pub fn serve(loaded: Loaded, files: Files, ipfix: Option<SocketAddr>) -> Result<(), String> {
+/// Serves until it is told to stop. Where the platform holds the terminals' listening socket, it is given.
+pub fn serve(
+    loaded: Loaded,
+    files: Files,
+    ipfix: Option<SocketAddr>,
+    passed: Option<OwnedFd>,
+) -> Result<(), String> {
     let Loaded { node: config, fronts: opened } = loaded;
     let at = |what: &str, e: io::Error| format!("{what}: {e}");
     let mut net = Net::new(config.sockets).map_err(|e| at("epoll", e))?;
@@ -110,7 +115,11 @@
     let mut table = ServiceTable::new(config.discovery, config.facts.zones.clone());
     core.tell(table.saved(&config.known));
     let mut fronts = Fronts::new();
-    let listen = fronts.listen(&mut net, config.listen).map_err(|e| at("listen", e))?;
+    let listen = match passed {
+        Some(fd) => net.listen_on(fd, Owner::Front(TEXT)),
+        None => net.listen(config.listen, Owner::Front(TEXT)),
+    };
+    let listen = listen.map_err(|e| at("listen", e))?;
     log::line(format_args!("started name={} listen={listen}", config.name));
     for (which, file) in opened {
         let line = fronts.open(which, file, &mut net, &config.name, &config.facts)?;
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -104,6 +104,7 @@
 pub struct Bench {
     pub child: Child,
     log: BufReader<std::process::ChildStderr>,
+    start: Start,
     pub addr: SocketAddr,
     pub amqp: Option<SocketAddr>,
     /// What the AMQP front said of where it listens.
@@ -115,6 +116,23 @@
     config: String,
 }
 
+/// How a node's processes are started.
+#[derive(Clone, Default)]
+pub struct Start {
+    pub args: Vec<String>,
+    pub env: Vec<(String, String)>,
+}
+
+impl Start {
+    fn process(&self, config: &std::path::Path) -> (Child, BufReader<std::process::ChildStderr>) {
+        let args: Vec<&str> = self.args.iter().map(String::as_str).collect();
+        let env = self.env.iter().map(|(name, value)| (name, value));
+        let mut child = program(&args, config).envs(env).spawn().expect("the node starts");
+        let log = BufReader::new(child.stderr.take().expect("its log"));
+        (child, log)
+    }
+}
+
 /// A first line whose id and key are this number's: the id of one that is open is refused.
 pub fn open(number: u64) -> String {
     format!("OPEN {number:x} {number:x} c=live-readings,t=acme,d=1200,g=5c0f")
@@ -162,7 +180,7 @@
 pub fn program(args: &[&str], config: &std::path::Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_sparbank"));
     command.args(args).env("NODE_CONFIG", config).stdout(Stdio::piped()).stderr(Stdio::piped());
-    for name in ["NODE_NAME", "NODE_LISTEN", "NODE_OPERATOR", "NODE_DISCOVERY"] {
+    for name in ["NODE_NAME", "NODE_LISTEN", "NODE_OPERATOR", "NODE_DISCOVERY", "NODE_PASSED_SOCKET"] {
         command.env_remove(name);
     }
     command
@@ -185,6 +203,17 @@
         amqp: Option<&str>,
         args: &[&str],
         edit: fn(&str) -> String,
+    ) -> Bench {
+        Bench::with_env(regions, amqp, args, edit, &[])
+    }
+
+    /// The same, in an environment with these variables.
+    pub fn with_env(
+        regions: Vec<TcpListener>,
+        amqp: Option<&str>,
+        args: &[&str],
+        edit: fn(&str) -> String,
+        env: &[(&str, &str)],
     ) -> Bench {
         let discovery = listener();
         let address = |l: &TcpListener| l.local_addr().expect("an address");
@@ -193,17 +222,19 @@
         let config = edit(&config(address(&discovery), &list.join(","), 256));
         let files = file("node.json", &config);
         let amqp_file = amqp.map(|text| file("amqp.json", text));
-        let mut all = vec!["serve"];
+        let mut start = Start::default();
+        start.args.push("serve".to_string());
         if let Some(path) = &amqp_file {
-            all.extend(["--amqp", path.to_str().expect("a path")]);
+            start.args.extend(["--amqp", path.to_str().expect("a path")].map(str::to_string));
         }
-        all.extend(args);
-        let mut child = program(&all, &files).spawn().expect("the node starts");
-        let log = BufReader::new(child.stderr.take().expect("its log"));
+        start.args.extend(args.iter().map(|arg| arg.to_string()));
+        start.env.extend(env.iter().map(|(name, value)| (name.to_string(), value.to_string())));
+        let (child, log) = start.process(&files);
         let addr = discovery.local_addr().expect("an address");
         let mut bench = Bench {
             child,
             log,
+            start,
             addr,
             amqp: None,
             amqp_line: String::new(),
@@ -222,16 +253,16 @@
         bench
     }
 
+    /// Starts the program once more beside itself; gives the process that ran before.
+    pub fn upgrade(&mut self) -> Process {
+        let (child, log) = self.start.process(&self.files);
+        let (child, log) = (std::mem::replace(&mut self.child, child), std::mem::replace(&mut self.log, log));
+        Process { child, log }
+    }
+
     /// The next log line about this.
     pub fn logged(&mut self, event: &str) -> String {
-        let mut line = String::new();
-        loop {
-            line.clear();
-            assert!(self.log.read_line(&mut line).expect("a log line") > 0, "the log ended before {event}");
-            if line.starts_with(&format!("sparbank {event}")) {
-                return line.trim_end().to_string();
-            }
-        }
+        next_line(&mut self.log, event)
     }
 
     /// Discovery accepts the node's watch and brings the list that the node knows.
@@ -319,6 +350,43 @@
     }
 }
 
+/// A process of a node that has been started once more since.
+pub struct Process {
+    pub child: Child,
+    log: BufReader<std::process::ChildStderr>,
+}
+
+impl Process {
+    /// The next log line about this.
+    pub fn logged(&mut self, event: &str) -> String {
+        next_line(&mut self.log, event)
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn next_line(log: &mut impl BufRead, event: &str) -> String {
+    let mut line = String::new();
+    loop {
+        line.clear();
+        assert!(log.read_line(&mut line).expect("a log line") > 0, "the log ended before {event}");
+        if line.starts_with(&format!("sparbank {event}")) {
+            return line.trim_end().to_string();
+        }
+    }
+}
+
 impl Drop for Bench {
     fn drop(&mut self) {
         if std::thread::panicking() {
