--- a/src/balance.rs
+++ b/src/balance.rs
@@ -9,6 +9,7 @@
 use crate::random::{below, mix, unit};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -85,17 +86,20 @@
     ended: bool,
 }
 
-#[derive(Default)]
+#[derive(Default, Deserialize, Serialize)]
 struct Server {
     tag: u64,
     zone: u32,
     cell: u32,
     nominal: f64,
     born: Nanos,
+    #[serde(skip)]
     status: Status,
     /// This relay's own attempts and connections there.
+    #[serde(skip)]
     held: BTreeSet<RequestId>,
     /// How many of each group are among them.
+    #[serde(skip)]
     groups: BTreeMap<u64, u32>,
     /// The last note of delay, which holds until a time; after that it is paced until another.
     delay: Nanos,
@@ -166,6 +170,24 @@
         self.settings = settings;
     }
 
+    /// What this relay learned of the servers, for a process that takes its place and knows the same ones.
+    pub fn learned(&self) -> String {
+        serde_json::to_string(&(self.strain, self.rate, self.rate_at, &self.servers)).unwrap_or_default()
+    }
+
+    /// Takes that over. What cannot be read changes nothing; what is of servers not known is left out.
+    pub fn learn(&mut self, learned: &str) -> Result<(), serde_json::Error> {
+        let servers: Vec<Server>;
+        (self.strain, self.rate, self.rate_at, servers) = serde_json::from_str(learned)?;
+        for s in servers {
+            if let Some(known) = self.servers.iter_mut().find(|k| (k.tag, k.born) == (s.tag, s.born)) {
+                let status = known.status;
+                *known = Server { status, ..s };
+            }
+        }
+        Ok(())
+    }
+
     /// Takes one event at this time and appends what is to be done.
     pub fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
         self.now = now;
--- a/src/core.rs
+++ b/src/core.rs
@@ -142,6 +142,16 @@
         arrival.id
     }
 
+    /// What the module learned, for a process that takes this one's place.
+    pub fn learned(&self) -> String {
+        self.balancer.learned()
+    }
+
+    /// Takes that over, once the module has the list that it is about and before anything stands.
+    pub fn learn(&mut self, learned: &str) -> Result<(), serde_json::Error> {
+        self.balancer.learn(learned)
+    }
+
     /// A transaction comes in; its id is dealt here.
     pub fn arrive(&mut self, now: Nanos, front: FrontId, mut arrival: Arrival) -> RequestId {
         self.counters.taken += 1;
@@ -151,16 +161,43 @@
     }
 
     /// A connection that stood before this node started stands again: no placement.
-    pub fn resume(
+    pub fn resume(&mut self, now: Nanos, front: FrontId, arrival: Arrival, region: ServerId) -> RequestId {
+        self.counters.resumed += 1;
+        self.stands(now, front, arrival, region)
+    }
+
+    fn stands(&mut self, now: Nanos, front: FrontId, mut arrival: Arrival, region: ServerId) -> RequestId {
+        let id = self.admit(now, front, &mut arrival, State::Up { region });
+        self.inbox.push(Event::Resumed(arrival, region));
+        id
+    }
+
+    /// A standing connection goes on in another process. Gives when it began, for a record of the whole of it.
+    pub fn passed_on(&mut self, id: RequestId) -> Option<Nanos> {
+        let State::Up { region: server } = self.transactions.get(&id)?.state else { return None };
+        let began = self.transactions.remove(&id)?.began;
+        self.counters.passed_on += 1;
+        self.inbox.push(Event::Response { id, server, outcome: Outcome::Cancelled, done: true });
+        Some(began)
+    }
+
+    /// One that stood in the process before this one stands here, since then, with this load if it was told.
+    pub fn taken_over(
         &mut self,
-        now: Nanos,
+        (now, began): (Nanos, Nanos),
         front: FrontId,
-        mut arrival: Arrival,
+        arrival: Arrival,
         region: ServerId,
+        load: Option<Nanos>,
     ) -> RequestId {
-        self.counters.resumed += 1;
-        let id = self.admit(now, front, &mut arrival, State::Up { region });
-        self.inbox.push(Event::Resumed(arrival, region));
+        self.counters.taken_over += 1;
+        let id = self.stands(now, front, arrival, region);
+        if let Some(t) = self.transactions.get_mut(&id) {
+            t.began = began;
+        }
+        if let Some(cost) = load {
+            self.inbox.push(Event::LoadNote { id, cost });
+        }
         id
     }
 
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -62,6 +62,11 @@
     list_calls,
     /// Failed calls to discovery and lost watches.
     list_failed,
+    /// Times that this process took another's place, or another took this one's.
+    upgrades,
+    /// Standing connections that went on in the next process, and that came from the one before.
+    passed_on,
+    taken_over,
     /// Operators' calls that sent terminals away, and that took them again.
     drains,
     resumes,
--- a/src/flow_export.rs
+++ b/src/flow_export.rs
@@ -96,7 +96,7 @@
 }
 
 fn record(flow: &Flow, table: &ServiceTable, facts: &Facts) -> Vec<u8> {
-    let addr = flow.region.and_then(|region| table.region(region)).map(|region| region.addr);
+    let addr = flow.region.and_then(|region| table.region(region)).map(|region| region.addr());
     let ip = match addr.map(|a| a.ip()) {
         Some(IpAddr::V4(ip)) => ip,
         _ => Ipv4Addr::UNSPECIFIED,
--- a/src/front/amqp/regions.rs
+++ b/src/front/amqp/regions.rs
@@ -136,7 +136,7 @@
 
     fn dial(&mut self, ctx: &mut Ctx, config: &AmqpConfig, region: ServerId) -> bool {
         let Some(known) = ctx.table.region(region) else { return false };
-        let (addr, mut credentials) = config.place(&known.name, known.addr, &super::access::nonce());
+        let (addr, mut credentials) = config.place(known.name(), known.addr(), &super::access::nonce());
         let Some(at) = self.map.get_mut(&region) else { return false };
         if at.no_sasl && credentials == Some(Credentials::Anonymous) {
             credentials = None;
@@ -220,7 +220,7 @@
     /// A connection that serves nothing and whose region gets nothing new.
     pub fn is_done(&self, ctx: &Ctx, token: Token) -> bool {
         let Some(link) = self.links.get(&token) else { return false };
-        let leaving = ctx.table.region(link.region).is_none_or(|region| !region.serving);
+        let leaving = ctx.table.region(link.region).is_none_or(|region| !region.serving());
         leaving
             && link.conn.is_open()
             && link
--- a/src/front/mod.rs
+++ b/src/front/mod.rs
@@ -13,6 +13,7 @@
 use crate::net::{Net, Notice, Token, Wheel};
 use crate::service_table::ServiceTable;
 use std::any::Any;
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 
 /// What a front works with.
@@ -80,6 +81,13 @@
     fn flush(&mut self, _ctx: &mut Ctx) {}
     /// Terminals are sent away, for a while or for good; called at each step.
     fn leave(&mut self, _ctx: &mut Ctx) {}
+    /// Lets connections go, no more than so many, for the process that takes this one's place. What is not
+    /// passed on is left to end here.
+    fn pass_on(&mut self, _ctx: &mut Ctx, _most: usize) -> Vec<Luggage> {
+        Vec::new()
+    }
+    /// Goes on with a connection of the process before this one.
+    fn take_in(&mut self, _ctx: &mut Ctx, _luggage: Luggage) {}
     /// The node takes terminals again.
     fn stay(&mut self, _ctx: &mut Ctx) {}
     /// Takes a newer file over, which [`Optional::read`] gave. Names what only a restart could change.
@@ -92,6 +100,14 @@
     }
 }
 
+/// A connection on its way from one process to the next.
+pub struct Luggage {
+    /// What the front said of it, as JSON.
+    pub text: String,
+    /// Its descriptors, the terminal's first.
+    pub fds: Vec<OwnedFd>,
+}
+
 /// An open front, and where it listens.
 pub type Opened = (Box<dyn Front>, String);
 
@@ -167,6 +183,12 @@
         front.map_or(Vec::new(), |front| front.take_over(file))
     }
 
+    /// A front by its name.
+    pub fn named(&mut self, name: &str) -> Option<FrontId> {
+        let index = self.names.iter().position(|known| *known == name)?;
+        Some(FrontId { index: index as u8, name: self.names[index] })
+    }
+
     /// Whether none holds a terminal.
     pub fn are_idle(&self) -> bool {
         self.list.iter().flatten().all(|front| front.is_idle())
--- a/src/front/text.rs
+++ b/src/front/text.rs
@@ -3,10 +3,11 @@
 //! A terminal's first line opens a transaction. Once its region has said `UP`, lines pass both ways.
 //! Only whole lines go to a terminal, so that `MOVE` can always follow.
 
-use super::{Ctx, Due, Front, ANSWER_MARGIN, TEXT};
+use super::{Ctx, Due, Front, Luggage, ANSWER_MARGIN, TEXT};
 use crate::interface::*;
-use crate::net::{Kind, Notice, Owner, Token, SLOW};
+use crate::net::{Flow, Kind, Notice, Owner, Token, SLOW};
 use first_line::{load, FirstLine, Open};
+use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
 
 mod first_line;
@@ -41,9 +42,42 @@
     asked: Option<Nanos>,
     /// The region's last line, where it says how the connection ends.
     last: Ending,
+    /// The load that the region told last.
+    load: Option<Nanos>,
 }
 
-#[derive(Clone, Copy, PartialEq)]
+impl Session {
+    fn trace(&self, what: &str, ctx: &Ctx) {
+        if crate::log::tracing() {
+            let (txn, open) = (self.txn.map_or(0, |txn| txn.0), &self.open);
+            let region = self.region.and_then(|region| ctx.table.region(region)).map_or("-", |r| r.name());
+            crate::log::line(format_args!(
+                "trace terminal {what} txn={txn} key={:x} class={} region={region} again={} repeat={} up={}",
+                open.key, open.class, open.came_back, open.repeated, self.up
+            ));
+        }
+    }
+}
+
+/// A connection on its way to the next process.
+#[derive(Debug, Deserialize, Serialize)]
+enum Passed {
+    /// Accepted; so many questions.
+    Fresh(u32, Flow),
+    /// It stands.
+    Standing {
+        line: String,
+        region: String,
+        began: Nanos,
+        asked: Option<Nanos>,
+        last: Ending,
+        load: Option<Nanos>,
+        terminal: Flow,
+        task: Flow,
+    },
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 enum Ending {
     Broken,
     Bye,
@@ -132,7 +166,8 @@
         self.sides.insert(token, Side::Terminal);
         let at = open.at.clone();
         let (txn, region, task, up) = (None, None, None, false);
-        let session = Session { open, txn, region, task, up, asked: None, last: Ending::Broken };
+        let (asked, last, load) = (None, Ending::Broken, None);
+        let session = Session { open, txn, region, task, up, asked, last, load };
         self.sessions.insert(token, session);
         match at {
             Some(name) => self.restore(ctx, token, &name),
@@ -141,6 +176,7 @@
                 self.terminals.insert(txn, token);
                 if let Some(session) = self.sessions.get_mut(&token) {
                     session.txn = Some(txn);
+                    session.trace("came", ctx);
                 }
                 self.terminal(ctx, token, false);
             }
@@ -160,7 +196,7 @@
     /// Connects to a region and sends it the terminal's line.
     fn dial(&mut self, ctx: &mut Ctx, terminal: Token, region: ServerId, wait: Nanos) -> bool {
         let Some(session) = self.sessions.get_mut(&terminal) else { return true };
-        let Some(addr) = ctx.table.region(region).map(|r| r.addr) else { return false };
+        let Some(addr) = ctx.table.region(region).map(|r| r.addr()) else { return false };
         let Ok(task) = ctx.net.connect(addr, Owner::Front(TEXT)) else { return false };
         ctx.net.send(task, session.open.for_region(wait).as_bytes());
         ctx.wheel.at(ctx.now + ctx.facts.limits.dial_timeout_ns, Due::Dial(TEXT, task));
@@ -213,6 +249,7 @@
     fn forget(&mut self, ctx: &mut Ctx, token: Token) {
         self.sides.remove(&token);
         if let Some(session) = self.sessions.remove(&token) {
+            session.trace("over", ctx);
             self.ids.remove(&session.open.id);
             if let Some(txn) = session.txn {
                 self.terminals.remove(&txn);
@@ -303,6 +340,7 @@
                 (None, None) => return,
             }
             session.up = true;
+            session.trace("stands", ctx);
             ctx.net.send(terminal, line);
             return self.terminal(ctx, terminal, false);
         }
@@ -351,6 +389,80 @@
         }
     }
 
+    // ---- From one process to the next ----------------------------------------------------------
+
+    /// Whether a connection can go on in another process as it is.
+    fn can_pass(&self, ctx: &Ctx, terminal: Token) -> bool {
+        let goes = |token: Token| ctx.net.can_release(token) && ctx.net.unwritten(token) < 2 * SLOW;
+        match (self.sides.get(&terminal), self.sessions.get(&terminal)) {
+            (Some(Side::Fresh(_)), _) => goes(terminal),
+            (Some(Side::Terminal), Some(s)) => s.up && goes(terminal) && s.task.is_some_and(goes),
+            _ => false,
+        }
+    }
+
+    fn pack(&mut self, ctx: &mut Ctx, token: Token) -> Option<Luggage> {
+        let side = self.sides.remove(&token)?;
+        let (fd, terminal) = ctx.net.release(token)?;
+        let Some(session) = self.sessions.get_mut(&token) else {
+            let Side::Fresh(pings) = side else { return None };
+            let text = serde_json::to_string(&Passed::Fresh(pings, terminal)).ok()?;
+            return Some(Luggage { text, fds: vec![fd] });
+        };
+        let (task_fd, task) = session.task.take().and_then(|task| {
+            self.sides.remove(&task);
+            ctx.net.release(task)
+        })?;
+        let (line, asked, last, load) =
+            (session.open.line().to_string(), session.asked, session.last, session.load);
+        let region = session.region.and_then(|region| ctx.table.region(region))?.name().to_string();
+        let began = session.txn.and_then(|txn| ctx.core.passed_on(txn))?;
+        self.forget(ctx, token);
+        let passed = Passed::Standing { line, region, began, asked, last, load, terminal, task };
+        Some(Luggage { text: serde_json::to_string(&passed).ok()?, fds: vec![fd, task_fd] })
+    }
+
+    fn unpack(&mut self, ctx: &mut Ctx, luggage: Luggage) -> Option<()> {
+        let mut fds = luggage.fds.into_iter();
+        let mut fd = || fds.next();
+        match serde_json::from_str(&luggage.text).ok()? {
+            Passed::Fresh(pings, terminal) => {
+                let token = ctx.net.receive(fd()?, terminal, Owner::Front(TEXT)).ok()?;
+                self.sides.insert(token, Side::Fresh(pings));
+                self.fresh(ctx, token);
+                ctx.net.rearm(token);
+            }
+            Passed::Standing { line, region, began, asked, last, load, terminal, task } => {
+                let token = ctx.net.receive(fd()?, terminal, Owner::Front(TEXT)).ok()?;
+                let task = ctx.net.receive(fd()?, task, Owner::Front(TEXT)).ok()?;
+                let open = match FirstLine::parse(line.as_bytes(), ctx.facts, ctx.classes) {
+                    Some(FirstLine::Open(open)) => Some(open),
+                    _ => None,
+                };
+                let (Some(open), Some(region)) = (open, ctx.table.named(&region)) else {
+                    // It was placed under other classes, or where nobody knows of: it is placed anew.
+                    ctx.net.send(token, b"MOVE\r\n");
+                    ctx.net.close(token);
+                    ctx.net.close(task);
+                    return Some(());
+                };
+                let txn = ctx.core.taken_over((ctx.now, began), TEXT, arrival(&open), region, load);
+                self.ids.insert(open.id.clone());
+                self.sides.insert(token, Side::Terminal);
+                self.sides.insert(task, Side::Task(token));
+                self.terminals.insert(txn, token);
+                let (txn, region, up) = (Some(txn), Some(region), true);
+                let session = Session { open, txn, region, task: Some(task), up, asked, last, load };
+                session.trace("took", ctx);
+                self.sessions.insert(token, session);
+                self.task(ctx, token, task, None);
+                ctx.net.rearm(task);
+                ctx.net.rearm(token);
+            }
+        }
+        Some(())
+    }
+
     fn note_delays(&mut self, ctx: &mut Ctx) {
         let aim = ctx.classes.iter().filter_map(|c| c.message_aim).min().unwrap_or(Nanos::MAX);
         let mut notes: Vec<(ServerId, Nanos)> = Vec::new();
@@ -451,6 +563,20 @@
         }
     }
 
+    fn pass_on(&mut self, ctx: &mut Ctx, most: usize) -> Vec<Luggage> {
+        let mut tokens: Vec<Token> =
+            self.sides.keys().filter(|token| self.can_pass(ctx, **token)).copied().collect();
+        tokens.sort_unstable();
+        tokens.truncate(most);
+        tokens.into_iter().filter_map(|token| self.pack(ctx, token)).collect()
+    }
+
+    fn take_in(&mut self, ctx: &mut Ctx, luggage: Luggage) {
+        if self.unpack(ctx, luggage).is_none() {
+            crate::log::line(format_args!("takeover-lost a connection that cannot be read"));
+        }
+    }
+
     /// A connection should be up by now.
     fn dial_due(&mut self, ctx: &mut Ctx, task: Token) {
         if let (true, Some(Side::Task(terminal))) = (ctx.net.is_connecting(task), self.sides.get(&task)) {
@@ -518,6 +644,7 @@
         (Some(value), Some(id)) => {
             if let Some(cost) = std::str::from_utf8(value).ok().and_then(load) {
                 crate::log::trace(format_args!("trace load txn={} us={}", id.0, cost / 1_000));
+                session.load = Some(cost);
                 ctx.core.tell(Event::LoadNote { id, cost });
             }
         }
@@ -526,7 +653,7 @@
                 let took = ctx.now.saturating_sub(asked);
                 let delay = delays.entry(region).or_default();
                 delay.latest = delay.latest.max(Some(took));
-                let name = ctx.table.region(region).map_or("?", |r| &r.name);
+                let name = ctx.table.region(region).map_or("?", |r| r.name());
                 crate::log::trace(format_args!("trace line region={name} took_ms={}", took / 1_000_000));
             }
         }
--- a/src/front/text/first_line.rs
+++ b/src/front/text/first_line.rs
@@ -93,6 +93,11 @@
         Some(Open { id, line, d, class, grace, key, group, came_back, repeated, hint, at })
     }
 
+    /// The line as it came, without its end.
+    pub fn line(&self) -> &str {
+        &self.line
+    }
+
     /// The line for the region: as it came, but for how long the node will wait.
     pub fn for_region(&self, wait: Nanos) -> String {
         match &self.d {
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -21,6 +21,8 @@
 const ANSWERED_BEFORE: Nanos = 250_000_000;
 /// This long before SIGKILL, the node ends, whoever has not yet read what it was told.
 const ENDS_BEFORE: Nanos = 100_000_000;
+/// A process whose successor serves waits so long for SIGTERM.
+const WAITS_FOR_TERM: Nanos = 10_000_000_000;
 
 /// When standing terminals are moved, and when what waits is answered.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -52,11 +54,18 @@
     #[default]
     Serving,
     Draining(Moving),
+    /// A successor serves in its place; it ends by itself then, if SIGTERM does not come before.
+    HandedOver {
+        moving: Moving,
+        until: Nanos,
+        drained: bool,
+    },
     /// It ends then; nothing brings it back.
     Leaving {
         moving: Moving,
         end: Nanos,
         drained: bool,
+        handed_over: bool,
     },
 }
 
@@ -87,8 +96,11 @@
         let moving = Moving::until(now, now + DRAINED_AFTER);
         match &mut self.phase {
             Phase::Serving => self.phase = Phase::Draining(moving),
-            Phase::Leaving { moving: leaving, drained, .. } if !*drained => {
-                *leaving = leaving.or_earlier(Some(moving));
+            Phase::Leaving { moving: going, drained, .. }
+            | Phase::HandedOver { moving: going, drained, .. }
+                if !*drained =>
+            {
+                *going = going.or_earlier(Some(moving));
                 *drained = true;
             }
             _ => return false,
@@ -104,7 +116,38 @@
                 self.phase = Phase::Serving;
                 Ok(true)
             }
-            Phase::Leaving { .. } => Err(IsLeaving),
+            Phase::Leaving { .. } | Phase::HandedOver { .. } => Err(IsLeaving),
+        }
+    }
+
+    /// A successor serves: what stands here is passed on to it, and what cannot be is moved, before SIGKILL
+    /// could come if SIGTERM came now.
+    pub fn hand_over(&mut self, now: Nanos, longest: Nanos) {
+        let moving = Moving::until(now, now + longest.min(LONGEST) + KILL_AFTER);
+        let until = now + WAITS_FOR_TERM;
+        match &mut self.phase {
+            Phase::Serving => self.phase = Phase::HandedOver { moving, until, drained: false },
+            Phase::Draining(before) => {
+                let moving = moving.or_earlier(Some(*before));
+                self.phase = Phase::HandedOver { moving, until, drained: true };
+            }
+            Phase::HandedOver { .. } => {}
+            Phase::Leaving { handed_over, .. } => *handed_over = true,
+        }
+    }
+
+    /// The successor is gone: all is as it was before.
+    pub fn take_back(&mut self, now: Nanos) {
+        match &mut self.phase {
+            Phase::HandedOver { drained, .. } => {
+                let drained = std::mem::take(drained);
+                self.phase = Phase::Serving;
+                if drained {
+                    self.drain(now);
+                }
+            }
+            Phase::Leaving { handed_over, .. } => *handed_over = false,
+            Phase::Serving | Phase::Draining(_) => {}
         }
     }
 
@@ -114,22 +157,27 @@
         let kill = now + longest.min(LONGEST) + KILL_AFTER;
         let draining = match self.phase {
             Phase::Leaving { .. } => return false,
-            Phase::Draining(moving) => Some(moving),
+            Phase::Draining(moving) | Phase::HandedOver { moving, .. } => Some(moving),
             Phase::Serving => None,
         };
+        let drained = !self.takes_terminals();
+        let handed_over = matches!(self.phase, Phase::HandedOver { .. });
         let moving = Moving::until(now, kill).or_earlier(draining);
-        self.phase = Phase::Leaving { moving, end: kill - ENDS_BEFORE, drained: draining.is_some() };
+        self.phase = Phase::Leaving { moving, end: kill - ENDS_BEFORE, drained, handed_over };
         true
     }
 
     /// Whether the front that deals terminals out is to send some here: what `PING` asks.
     pub fn takes_terminals(&self) -> bool {
-        matches!(self.phase, Phase::Serving | Phase::Leaving { drained: false, .. })
+        let (Phase::Leaving { drained, .. } | Phase::HandedOver { drained, .. }) = self.phase else {
+            return matches!(self.phase, Phase::Serving);
+        };
+        !drained
     }
 
-    /// Whether the process ends for good.
+    /// Whether the process ends for good, or has a successor that serves.
     pub fn is_leaving(&self) -> bool {
-        matches!(self.phase, Phase::Leaving { .. })
+        matches!(self.phase, Phase::Leaving { .. } | Phase::HandedOver { .. })
     }
 
     /// What is to be done now for those that stand, so many. None where they stay.
@@ -137,7 +185,7 @@
         let (moving, leaves) = match self.phase {
             Phase::Serving => return None,
             Phase::Draining(moving) => (moving, false),
-            Phase::Leaving { moving, .. } => (moving, true),
+            Phase::Leaving { moving, .. } | Phase::HandedOver { moving, .. } => (moving, true),
         };
         if now < moving.from {
             return Some(Step::default());
@@ -156,7 +204,11 @@
     /// Whether the process is to end now: all is told and nothing is open any more, or time is up.
     pub fn has_left(&self, now: Nanos, idle: bool) -> bool {
         match self.phase {
-            Phase::Leaving { moving, end, .. } => now >= end || (now >= moving.told && idle),
+            // With a successor nothing comes here any more.
+            Phase::Leaving { moving, end, handed_over, .. } => {
+                now >= end || (idle && (handed_over || now >= moving.told))
+            }
+            Phase::HandedOver { until, .. } => idle && now >= until,
             _ => false,
         }
     }
@@ -238,6 +290,32 @@
         );
     }
 
+    #[rstest::rstest]
+    #[case::serving(false)]
+    #[case::drained(true)]
+    fn with_a_successor_it_ends_at_sigterm_and_without_one_all_is_as_before(#[case] drained: bool) {
+        let mut lifecycle = Lifecycle::default();
+        if drained {
+            lifecycle.drain(S);
+        }
+        lifecycle.hand_over(2 * S, 1_200 * MS);
+        assert_eq!((lifecycle.takes_terminals(), lifecycle.is_leaving()), (!drained, true));
+        assert_eq!(lifecycle.resume(), Err(IsLeaving));
+        // What cannot be passed on is moved, and it waits for SIGTERM, but not for ever.
+        assert!(all_moved(&lifecycle, 2 * S, 100) <= 1_500 * MS);
+        assert!(!lifecycle.has_left(11 * S, true) && lifecycle.has_left(12 * S, true));
+        let mut alone = lifecycle.clone();
+        alone.take_back(3 * S);
+        assert_eq!((alone.takes_terminals(), alone.is_leaving()), (!drained, false));
+        assert!(!alone.has_left(60 * S, true));
+        assert!(lifecycle.leave(3 * S, 1_200 * MS));
+        assert!(lifecycle.has_left(3 * S, true), "nothing comes any more");
+        assert!(!lifecycle.has_left(4 * S, false) && lifecycle.has_left(4_800 * MS, false));
+        // It dies after SIGTERM: what comes until the end is served here again.
+        lifecycle.take_back(3_100 * MS);
+        assert!(lifecycle.is_leaving() && !lifecycle.has_left(3_200 * MS, true));
+    }
+
     #[rstest::rstest]
     #[case(1_200 * MS, 1_900 * MS)]
     #[case(60 * S, 3_700 * MS)]
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,7 +3,7 @@
 mod sockets;
 mod wheel;
 
-pub use sockets::{Kind, Net, Notice, Owner, Token, SLOW};
+pub use sockets::{Flow, Kind, Net, Notice, Owner, Token, SLOW};
 pub use wheel::Wheel;
 
 /// A token for tests of what is kept by tokens.
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -6,6 +6,7 @@
 use rustix::event::{epoll, Timespec};
 use rustix::io::{read, write, Errno};
 use rustix::net::{sockopt, AddressFamily, Shutdown, SocketFlags, SocketType};
+use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
@@ -23,6 +24,8 @@
     Signal,
     /// The operators' address.
     Operator,
+    /// The process before this one, or the one after it.
+    Takeover,
 }
 
 /// A socket's place and its generation: a token outlives its socket without naming the next one.
@@ -68,6 +71,37 @@
     Broken,
     /// Ours is said; what the peer still sends is read and dropped, so that no reset eats the answer.
     Lingering,
+    /// Its owner reads and writes by itself ([`Net::raw`]).
+    Raw,
+}
+
+/// A connection's state, for a process that goes on with it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Flow {
+    /// Come and not taken by its owner.
+    #[serde(with = "octets")]
+    pub input: Vec<u8>,
+    /// Still to be written.
+    #[serde(with = "octets")]
+    pub output: Vec<u8>,
+    written: u64,
+    /// It was accepted and has said nothing of use yet; it has until then.
+    word_by: Option<Nanos>,
+}
+
+/// Octets in JSON: text that is short.
+mod octets {
+    use base64::prelude::{Engine, BASE64_STANDARD};
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub fn serialize<S: Serializer>(octets: &[u8], to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(&BASE64_STANDARD.encode(octets))
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(from: D) -> Result<Vec<u8>, D::Error> {
+        let text = std::borrow::Cow::<str>::deserialize(from)?;
+        BASE64_STANDARD.decode(text.as_bytes()).map_err(serde::de::Error::custom)
+    }
 }
 
 struct Socket {
@@ -128,6 +162,10 @@
     reserve: usize,
     reserved: VecDeque<Token>,
     resting: Option<Nanos>,
+    /// Fronts take nothing in: another process does.
+    closed: bool,
+    /// Listening sockets of the process before this one, each with its address.
+    inherited: Vec<(SocketAddr, OwnedFd)>,
     pending: Vec<Notice>,
     now: Nanos,
     /// Where reads go before they are kept.
@@ -148,6 +186,8 @@
             reserve: 0,
             reserved: VecDeque::new(),
             resting: None,
+            closed: false,
+            inherited: Vec::new(),
             pending: Vec::new(),
             now: 0,
             chunk: vec![0; ONE_READ],
@@ -219,6 +259,11 @@
 
     /// The same, with the listener's token, for an owner that has several ([`Net::came_to`]).
     pub fn listen_at(&mut self, addr: SocketAddr, owner: Owner) -> io::Result<(Token, SocketAddr)> {
+        let same = |at: &SocketAddr| *at == addr || (addr.port() == 0 && at.ip() == addr.ip());
+        if let Some(at) = self.inherited.iter().position(|(at, _)| same(at)) {
+            let (bound, fd) = self.inherited.remove(at);
+            return Ok((self.insert(fd, owner, Stage::Listening)?, bound));
+        }
         let fd = socket(addr)?;
         sockopt::set_socket_reuseaddr(&fd, true)?;
         rustix::net::bind(&fd, &addr)?;
@@ -227,6 +272,99 @@
         Ok((self.insert(fd, owner, Stage::Listening)?, bound))
     }
 
+    /// Whoever listens at one of these addresses from now on gets that socket.
+    pub fn inherit(&mut self, listening: Vec<(SocketAddr, OwnedFd)>) {
+        self.inherited = listening;
+    }
+
+    /// The fronts' listening sockets but for one front's, for another process as well.
+    pub fn listening(&self, but: FrontId) -> Vec<(SocketAddr, OwnedFd)> {
+        let fronts = self.slots.iter().filter_map(|(_, socket)| socket.as_ref()).filter(|s| {
+            s.stage == Stage::Listening && matches!(s.owner, Owner::Front(front) if front != but)
+        });
+        fronts.filter_map(|s| Some((bound(&s.fd).ok()?, s.fd.try_clone().ok()?))).collect()
+    }
+
+    /// Whether fronts take connections in.
+    pub fn take_in(&mut self, takes: bool) {
+        self.closed = !takes;
+        self.arm_listeners(if self.resting.is_some() {
+            epoll::EventFlags::empty()
+        } else {
+            epoll::EventFlags::IN
+        });
+    }
+
+    /// Sets so many descriptors aside for what is not counted here.
+    pub fn set_aside(&mut self, descriptors: usize) {
+        self.reserve += descriptors;
+    }
+
+    /// Descriptors in use.
+    pub fn in_use(&self) -> usize {
+        self.open
+    }
+
+    /// Watches a descriptor that its owner reads and writes by itself.
+    pub fn watch(&mut self, fd: OwnedFd, owner: Owner) -> io::Result<Token> {
+        rustix::io::ioctl_fionbio(&fd, true)?;
+        self.insert(fd, owner, Stage::Raw)
+    }
+
+    /// Such a descriptor.
+    pub fn raw(&self, token: Token) -> Option<&OwnedFd> {
+        self.peek(token).filter(|s| s.stage == Stage::Raw).map(|s| &s.fd)
+    }
+
+    /// Whether its owner wants to know when it takes more.
+    pub fn watch_room(&mut self, token: Token, wanted: bool) {
+        let Some((_, Some(socket))) = self.slots.get_mut(token.index()) else { return };
+        let out = if wanted { epoll::EventFlags::OUT } else { epoll::EventFlags::empty() };
+        if socket.stage == Stage::Raw && socket.interest != epoll::EventFlags::IN | out {
+            socket.interest = epoll::EventFlags::IN | out;
+            let data = epoll::EventData::new_u64(token.0);
+            // It was added under this descriptor, so this cannot fail but for want of memory.
+            let _ = epoll::modify(&self.epoll, &socket.fd, data, socket.interest);
+        }
+    }
+
+    /// Whether a connection can go on in another process: it is up, and neither side has ended its sending.
+    pub fn can_release(&self, token: Token) -> bool {
+        self.peek(token).is_some_and(|s| s.stage == Stage::Open && !s.at_end && !s.finish)
+    }
+
+    /// Lets a connection go, for another process to go on with. None where [`Net::can_release`] says no.
+    pub fn release(&mut self, token: Token) -> Option<(OwnedFd, Flow)> {
+        if !self.can_release(token) {
+            return None;
+        }
+        let word_by = self.unproven.iter().find(|(_, other)| *other == token).map(|(by, _)| *by);
+        let socket = self.get(token)?;
+        let word_by = word_by.filter(|_| socket.unproven);
+        let (input, output) = (std::mem::take(&mut socket.input), std::mem::take(&mut socket.output));
+        let flow = Flow { input, output, written: socket.written, word_by };
+        let socket = self.slots[token.index()].1.take()?;
+        // The other process has it open: closing ours would not take it out of the set.
+        let _ = epoll::delete(&self.epoll, &socket.fd);
+        self.vacate(token);
+        Some((socket.fd, flow))
+    }
+
+    /// Goes on with a connection that another process let go.
+    pub fn receive(&mut self, fd: OwnedFd, flow: Flow, owner: Owner) -> io::Result<Token> {
+        let token = self.insert(fd, owner, Stage::Open)?;
+        if let Some(socket) = self.get(token) {
+            (socket.input, socket.output, socket.written) = (flow.input, flow.output, flow.written);
+            socket.unproven = flow.word_by.is_some();
+        }
+        if let Some(by) = flow.word_by {
+            let at = self.unproven.partition_point(|(other, _)| *other <= by);
+            self.unproven.insert(at, (by, token));
+        }
+        self.rearm(token);
+        Ok(token)
+    }
+
     /// Listens on a socket that listens already, and may be another process's as well.
     pub fn listen_on(&mut self, fd: OwnedFd, owner: Owner) -> io::Result<SocketAddr> {
         // Whoever else has it may take in what we were woken for.
@@ -366,7 +504,7 @@
     pub fn close(&mut self, token: Token) {
         let until = self.now + LINGER;
         let Some(socket) = self.get(token) else { return };
-        if matches!(socket.stage, Stage::Connecting | Stage::Broken) {
+        if matches!(socket.stage, Stage::Connecting | Stage::Broken | Stage::Raw) {
             return self.drop_socket(token);
         }
         socket.stage = Stage::Lingering;
@@ -395,7 +533,7 @@
     /// Reads on where the owner has taken bytes.
     pub fn rearm(&mut self, token: Token) {
         let Some((generation, Some(socket))) = self.slots.get_mut(token.index()) else { return };
-        if *generation != token.generation() || socket.stage == Stage::Broken {
+        if *generation != token.generation() || matches!(socket.stage, Stage::Broken | Stage::Raw) {
             return;
         }
         let mut interest = epoll::EventFlags::empty();
@@ -455,6 +593,16 @@
         match socket.stage {
             Stage::Listening => return self.accept(token),
             Stage::Broken => return,
+            Stage::Raw => {
+                // Its end is found by reading.
+                if flags != epoll::EventFlags::OUT {
+                    self.notice(token, Kind::Readable);
+                }
+                if flags.contains(epoll::EventFlags::OUT) {
+                    self.notice(token, Kind::Drained);
+                }
+                return;
+            }
             Stage::Connecting => {
                 if let Ok(Err(_)) | Err(_) = sockopt::socket_error(&socket.fd) {
                     return self.broken(token);
@@ -544,6 +692,8 @@
     fn arm_listeners(&mut self, interest: epoll::EventFlags) {
         for (index, (generation, socket)) in self.slots.iter_mut().enumerate() {
             if let Some(socket) = socket.as_mut().filter(|s| s.stage == Stage::Listening) {
+                let closed = self.closed && matches!(socket.owner, Owner::Front(_));
+                let interest = if closed { epoll::EventFlags::empty() } else { interest };
                 socket.interest = interest;
                 let data = epoll::EventData::new_u64(token(*generation, index as u32).0);
                 let _ = epoll::modify(&self.epoll, &socket.fd, data, interest);
@@ -693,12 +843,17 @@
         if self.peek(token).is_none() {
             return;
         }
-        let (generation, socket) = &mut self.slots[token.index()];
-        *generation = generation.wrapping_add(1);
         // Closing the last descriptor takes it out of the epoll set.
-        if socket.take().is_some_and(|socket| socket.reserved) {
+        if self.slots[token.index()].1.take().is_some_and(|socket| socket.reserved) {
             self.reserved.retain(|other| *other != token);
         }
+        self.vacate(token);
+    }
+
+    /// The place of a socket that is gone is free.
+    fn vacate(&mut self, token: Token) {
+        let (generation, _) = &mut self.slots[token.index()];
+        *generation = generation.wrapping_add(1);
         self.free.push(token.index() as u32);
         self.open -= 1;
     }
--- a/src/node.rs
+++ b/src/node.rs
@@ -3,13 +3,14 @@
 use crate::config::{Config, Loaded};
 use crate::core::{Command, Core, FrontId};
 use crate::flow_export::FlowExport;
-use crate::front::{Ctx, Due, Files, Fronts, TEXT};
+use crate::front::{Ctx, Due, Files, Fronts, Luggage, TEXT};
 use crate::interface::*;
 use crate::lifecycle::{self, Lifecycle};
 use crate::log;
 use crate::net::{Kind, Net, Notice, Owner, Token, Wheel};
 use crate::operator::{Answer, Call, Operator};
 use crate::service_table::ServiceTable;
+use crate::takeover::{self, Inherited, News, State, Takeover};
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
@@ -52,6 +53,7 @@
     lifecycle: Lifecycle,
     /// A step of moving is on the wheel.
     stepping: bool,
+    takeover: Option<Takeover>,
 }
 
 struct Signals {
@@ -112,8 +114,26 @@
     };
     let mut core = Core::new(config.seed, config.settings.clone()).map_err(|e| e.to_string())?;
     core.trace.on = log::tracing();
+    let operator = match config.operator {
+        Some(at) => Some(Operator::open(&mut net, at).map_err(|e| format!("operator: {at}: {e}"))?),
+        None => None,
+    };
     let mut table = ServiceTable::new(config.discovery, config.facts.zones.clone());
-    core.tell(table.saved(&config.known));
+    // All is in place: from here on the process before this one may be asked for what it has.
+    let place = passed.as_ref().and_then(|_| takeover::meeting_place(&config.name));
+    let inherited = place.as_deref().and_then(|place| takeover::succeed(place, &config.name));
+    let (mut before, mut channel) = (None, None);
+    match inherited {
+        Some(Inherited { channel: from, state, listening, watch }) => {
+            core.tell(table.take_over(&mut net, &state.list, watch));
+            net.inherit(listening);
+            (before, channel) = (Some(state), Some(from));
+        }
+        None => core.tell(table.saved(&config.known)),
+    }
+    if place.is_some() {
+        net.set_aside(takeover::SUCCESSOR);
+    }
     let mut fronts = Fronts::new();
     let listen = match passed {
         Some(fd) => net.listen_on(fd, Owner::Front(TEXT)),
@@ -125,12 +145,10 @@
         let line = fronts.open(which, file, &mut net, &config.name, &config.facts)?;
         log::line(format_args!("{line}"));
     }
-    let mut operator = None;
-    if let Some(at) = config.operator {
-        let (opened, listen) = Operator::open(&mut net, at).map_err(|e| format!("operator: {at}: {e}"))?;
+    let operator = operator.map(|(operator, listen)| {
         log::line(format_args!("operator listen={listen}"));
-        operator = Some(opened);
-    }
+        operator
+    });
     let mut export = None;
     if let Some(collector) = ipfix {
         let domain = crate::wire::tag(&config.name) as u32;
@@ -142,7 +160,8 @@
     let mut wheel = Wheel::new(clock.now());
     wheel.at(clock.now(), Due::Look);
     let (lifecycle, stepping) = (Lifecycle::default(), false);
-    let node = Node {
+    let takeover = place.map(|place| Takeover::open(&mut net, &place, channel));
+    let mut node = Node {
         clock,
         net,
         core,
@@ -156,7 +175,12 @@
         operator,
         lifecycle,
         stepping,
+        takeover,
     };
+    node.decide();
+    if let Some(state) = before {
+        node.take_over(&state);
+    }
     node.run()
 }
 
@@ -170,7 +194,6 @@
 
 impl Node {
     fn run(mut self) -> Result<(), String> {
-        self.decide();
         loop {
             let now = self.clock.now();
             let wait = self.wheel.next_in(now);
@@ -182,6 +205,7 @@
                 self.due(due);
             }
             self.decide();
+            self.pass_on();
             self.print_trace();
             if self.has_left() {
                 self.export_flows(self.clock.now());
@@ -215,6 +239,10 @@
                     }
                 }
             }
+            Owner::Takeover => {
+                let news = self.takeover.as_mut().map(|t| t.notice(&mut self.net, notice));
+                self.heard(news.unwrap_or_default());
+            }
             Owner::Signal => {
                 if let Some(input) = self.net.input(notice.token) {
                     input.clear();
@@ -224,17 +252,103 @@
                     self.print_counters();
                 } else if notice.token == self.signals.reload {
                     self.reload();
-                } else if notice.token == self.signals.stop {
-                    let longest = self.config.settings.classes.iter().map(|c| c.hard_limit).max();
-                    if self.lifecycle.leave(self.clock.now(), longest.unwrap_or(0)) {
-                        log::line(format_args!("leaving standing={}", self.core.standing().len()));
-                        self.begin_steps();
+                } else if notice.token == self.signals.stop
+                    && self.lifecycle.leave(self.clock.now(), self.longest())
+                {
+                    log::line(format_args!("leaving standing={}", self.core.standing().len()));
+                    self.begin_steps();
+                }
+            }
+        }
+    }
+
+    /// What the process before this one knew: its list has been told already.
+    fn take_over(&mut self, state: &State) {
+        if let Err(e) = self.core.learn(&state.learned) {
+            log::line(format_args!("takeover-unlearned reason={e}"));
+        }
+        if state.drained && self.lifecycle.drain(self.clock.now()) {
+            self.begin_steps();
+        }
+        self.core.counters.upgrades += 1;
+        self.held_before(state.descriptors);
+        log::line(format_args!("taking-over drained={} descriptors={}", state.drained, state.descriptors));
+    }
+
+    /// The process before this one holds so many descriptors: both together hold no more than one may.
+    fn held_before(&mut self, descriptors: usize) {
+        self.net.limit(self.config.sockets.saturating_sub(descriptors));
+    }
+
+    fn longest(&self) -> Nanos {
+        self.config.settings.classes.iter().map(|c| c.hard_limit).max().unwrap_or(0)
+    }
+
+    fn heard(&mut self, news: Vec<News>) {
+        for news in news {
+            match news {
+                News::Asked => {
+                    let state = State {
+                        drained: !self.lifecycle.takes_terminals(),
+                        list: self.table.list(),
+                        learned: self.core.learned(),
+                        descriptors: self.net.in_use(),
+                    };
+                    let listening = self.net.listening(TEXT);
+                    let watch = self.table.release_watch(&mut self.net);
+                    let told =
+                        self.takeover.as_mut().map(|t| t.tell(&mut self.net, &state, listening, watch));
+                    self.heard(told.unwrap_or_default());
+                }
+                News::SuccessorServes => {
+                    self.net.take_in(false);
+                    self.lifecycle.hand_over(self.clock.now(), self.longest());
+                    self.core.counters.upgrades += 1;
+                    log::line(format_args!("handing-over standing={}", self.core.standing().len()));
+                    self.begin_steps();
+                }
+                News::SuccessorGone(unsent) => {
+                    for (front, luggage) in unsent {
+                        self.came(&front, luggage);
+                    }
+                    self.net.take_in(true);
+                    self.lifecycle.take_back(self.clock.now());
+                    // The watch went with it.
+                    if !self.table.is_watched() {
+                        self.listed(Event::Members(ListKind::Failed, Vec::new()));
                     }
                 }
+                News::Came { front, luggage, descriptors } => {
+                    self.held_before(descriptors);
+                    self.came(&front, luggage);
+                }
+                News::PredecessorGone => {
+                    self.held_before(0);
+                    log::line(format_args!("taken-over standing={}", self.core.standing().len()));
+                }
             }
         }
     }
 
+    fn came(&mut self, front: &str, luggage: Luggage) {
+        if let Some(id) = self.fronts.named(front) {
+            front!(self, id, take_in, luggage);
+        }
+    }
+
+    /// Passes on to the successor what can be passed on by now.
+    fn pass_on(&mut self) {
+        while self.takeover.as_ref().is_some_and(Takeover::has_room) {
+            let luggage: Vec<Luggage> = front!(self, TEXT, pass_on, takeover::A_TURN);
+            if luggage.is_empty() {
+                return;
+            }
+            let news = self.takeover.as_mut().map(|t| t.pass_on(&mut self.net, TEXT.name, luggage));
+            self.heard(news.unwrap_or_default());
+            self.decide();
+        }
+    }
+
     /// What an operator's call does, and its answer.
     fn called(&mut self, now: Nanos, call: Call) -> Answer {
         match call {
@@ -282,6 +396,7 @@
         for (which, file) in fronts {
             fixed.extend(self.fronts.take_over(which, file));
         }
+        // Where another process is still there, it says again what it holds.
         self.net.limit(self.config.sockets);
         self.core.set(self.config.settings.clone());
         log::line(format_args!("reloaded discovery={}", self.config.discovery));
@@ -392,7 +507,7 @@
     /// The lines of `--trace`.
     fn print_trace(&mut self) {
         for (txn, server, outcome, waited) in std::mem::take(&mut self.core.trace.tasks) {
-            let region = self.table.region(server).map_or("?", |r| &r.name);
+            let region = self.table.region(server).map_or("?", |r| r.name());
             let ms = waited / 1_000_000;
             match outcome {
                 Some(outcome) => log::line(format_args!(
--- a/src/service_table.rs
+++ b/src/service_table.rs
@@ -1,14 +1,15 @@
 //! Discovery's list of regions: the watch, its parser, and what it means to the module.
 
 use crate::interface::*;
-use crate::net::{Net, Owner, Token};
+use crate::net::{Flow, Net, Owner, Token};
 use crate::wire;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 
 /// A list as discovery writes it: all of it, or what changed.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct List {
     generation: u64,
     #[serde(default)]
@@ -16,7 +17,7 @@
     instances: Vec<Entry>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(rename_all = "camelCase")]
 struct Entry {
     instance_id: String,
@@ -32,7 +33,7 @@
     started_at_ms: u64,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 enum Lifecycle {
     Ready,
@@ -46,9 +47,31 @@
 
 /// A region, at the number that the module knows it by.
 pub struct Region {
-    pub name: String,
-    pub addr: SocketAddr,
-    pub serving: bool,
+    entry: Entry,
+}
+
+impl Region {
+    /// Discovery's name for it.
+    pub fn name(&self) -> &str {
+        &self.entry.instance_id
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.entry.host_port
+    }
+
+    /// Whether it gets anything new.
+    pub fn serving(&self) -> bool {
+        matches!(self.entry.lifecycle, Lifecycle::Ready)
+    }
+}
+
+/// How far a watch has come, for a process that goes on with it.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct WatchState {
+    heard: Nanos,
+    lists: u32,
+    answer: Answer,
 }
 
 struct Watch {
@@ -63,6 +86,9 @@
 /// A watch brings a line every 2 s: with none for this long it is dead. Told counts 6 s after at most.
 const LINE_WITHIN: Nanos = 4_200_000_000;
 
+/// A watch that has more of a list in hand is not passed on, in octets.
+const MOST_PASSED: usize = 8 * 1024;
+
 /// The table.
 pub struct ServiceTable {
     discovery: SocketAddr,
@@ -94,7 +120,7 @@
     /// Regions that get nothing new.
     pub fn stopped(&self) -> Vec<ServerId> {
         let ids = (0..self.regions.len()).map(|at| ServerId(at as u32));
-        ids.filter(|id| !self.regions[id.0 as usize].serving).collect()
+        ids.filter(|id| !self.regions[id.0 as usize].serving()).collect()
     }
 
     /// Takes the list that the node last held.
@@ -102,6 +128,49 @@
         Event::Members(ListKind::Saved, self.take(list, true))
     }
 
+    /// All that is known, for a process that takes this one's place.
+    pub fn list(&self) -> List {
+        let instances = self.regions.iter().map(|region| region.entry.clone()).collect();
+        List { generation: self.generation, reset: true, instances }
+    }
+
+    /// Whether a watch is there, or a call for one.
+    pub fn is_watched(&self) -> bool {
+        self.watch.is_some()
+    }
+
+    /// Lets the watch go, for that process.
+    pub fn release_watch(&mut self, net: &mut Net) -> Option<(OwnedFd, WatchState, Flow)> {
+        let held = self.watch.as_ref()?;
+        // In the middle of a long list: the other process had better ask by itself.
+        if held.answer.bytes.len() + held.answer.line.len() > MOST_PASSED {
+            return None;
+        }
+        let (fd, flow) = net.release(held.token)?;
+        let Watch { heard, answer, lists, .. } = self.watch.take()?;
+        Some((fd, WatchState { heard, lists, answer }, flow))
+    }
+
+    /// Takes what the process before this one knew, with its watch where it had one: what comes on that is
+    /// set against the list, as it was there.
+    pub fn take_over(
+        &mut self,
+        net: &mut Net,
+        list: &List,
+        watch: Option<(OwnedFd, WatchState, Flow)>,
+    ) -> Event {
+        let members = self.take(list, true);
+        let watch = watch.and_then(|(fd, state, flow)| {
+            let token = net.receive(fd, flow, Owner::Table).ok()?;
+            let WatchState { heard, lists, answer } = state;
+            Some(Watch { token, heard, answer, lists })
+        });
+        self.watch = watch;
+        // A list that no watch keeps up is what was saved of it.
+        let kind = if self.watch.is_some() { ListKind::Full } else { ListKind::Saved };
+        Event::Members(kind, members)
+    }
+
     /// Discovery is now at this address. Its versions may be others than those of the old one, so the
     /// whole list is asked for; what is known stays until it has come.
     pub fn follow(&mut self, now: Nanos, net: &mut Net, discovery: SocketAddr) -> Option<Event> {
@@ -182,7 +251,7 @@
     fn take(&mut self, list: &List, whole: bool) -> Vec<Member> {
         self.generation = list.generation;
         if whole {
-            self.regions.iter_mut().for_each(|r| r.serving = false);
+            self.regions.iter_mut().for_each(|r| r.entry.lifecycle = Lifecycle::Gone);
         }
         for entry in &list.instances {
             crate::log::trace(format_args!(
@@ -195,8 +264,7 @@
 
     fn member(&mut self, entry: &Entry) -> Member {
         let name = &entry.instance_id;
-        let serving = matches!(entry.lifecycle, Lifecycle::Ready);
-        let region = Region { name: name.clone(), addr: entry.host_port, serving };
+        let region = Region { entry: entry.clone() };
         let server = match self.numbers.get(name) {
             Some(server) => {
                 self.regions[server.0 as usize] = region;
@@ -243,14 +311,14 @@
 }
 
 /// An HTTP/1.1 answer in chunks, cut into lines.
-#[derive(Default)]
+#[derive(Debug, Default, Deserialize, Serialize)]
 struct Answer {
     stage: Stage,
     bytes: Vec<u8>,
     line: Vec<u8>,
 }
 
-#[derive(Clone, Copy, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 enum Stage {
     #[default]
     Head,
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -299,12 +299,22 @@
         terminal
     }
 
-    /// Replaces the configuration file by an edited one and sends SIGHUP.
-    pub fn reconfigure(&mut self, edit: impl FnOnce(&str) -> String) {
+    /// Replaces the configuration file by an edited one.
+    pub fn rewrite(&mut self, edit: impl FnOnce(&str) -> String) {
         std::fs::write(&self.files, edit(&self.config)).expect("a file");
+    }
+
+    /// The same, and sends SIGHUP.
+    pub fn reconfigure(&mut self, edit: impl FnOnce(&str) -> String) {
+        self.rewrite(edit);
         self.signal("-HUP");
     }
 
+    /// Starts the program once more, which is not to come up.
+    pub fn fails_to_start(&self) -> Child {
+        self.start.process(&self.files).0
+    }
+
     /// Discovery is from now on at another address, and the node is told.
     pub fn move_discovery(&mut self) {
         let old = std::mem::replace(&mut self.discovery, listener());
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -51,6 +51,34 @@
     assert!(held.values().all(|n| (29..=31).contains(n)), "three of three drawn stay level: {held:?}");
 }
 
+/// Three servers that could not be reached are left alone by the next process too, which numbers them anew.
+#[test]
+fn a_process_that_takes_this_ones_place_knows_what_it_learned() {
+    let mut relay = Relay::new(3, settings(), serving(6));
+    for id in 0..60 {
+        if let Some(server) = tried(&relay.request(id, 0)) {
+            if server.0 < 3 {
+                relay.end(id, server, Outcome::ConnectFailed);
+            } else {
+                relay.stands(id, server);
+            }
+        }
+    }
+    let learned = relay.balancer.learned();
+    let renumbered =
+        || serving(6).into_iter().map(|m| Member { server: ServerId(5 - m.server.0), ..m }).collect();
+    let (mut next, mut stranger) =
+        (Relay::new(4, settings(), renumbered()), Relay::new(4, settings(), renumbered()));
+    next.balancer.learn(&learned).expect("it is read");
+    let drawn = |relay: &mut Relay| -> usize {
+        (100..200).filter(|id| tried(&relay.request(*id, 0)).is_some_and(|server| server.0 > 2)).count()
+    };
+    assert_eq!(drawn(&mut next), 0);
+    assert!(drawn(&mut stranger) > 30);
+    assert!(next.balancer.learn("[1,").is_err());
+    assert_eq!(drawn(&mut next), 0, "what cannot be read changes nothing");
+}
+
 // ---- Rule 1: one final answer in time -------------------------------------------------------------
 
 #[test]
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -5,8 +5,10 @@
 
 use peers::*;
 use rstest::rstest;
-use std::net::TcpListener;
-use std::os::fd::AsRawFd;
+use rustix::net::{recv, send, AddressFamily, RecvFlags, SendFlags, SocketAddrUnix, SocketFlags, SocketType};
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{AsRawFd, OwnedFd};
+use std::path::PathBuf;
 
 /// The platform's listening socket, which every process inherits.
 fn passed() -> (TcpListener, String) {
@@ -17,26 +19,251 @@
 }
 
 /// A node whose terminals come to a passed socket.
-fn node(regions: usize) -> (Bench, TcpListener) {
-    let (listener, number) = passed();
-    let regions = (0..regions).map(|_| peers::listener()).collect();
-    let bench = Bench::with_env(regions, None, &[], str::to_string, &[("NODE_PASSED_SOCKET", &number)]);
-    assert_eq!(bench.addr, listener.local_addr().expect("an address"), "not the configuration's");
-    (bench, listener)
+struct Node {
+    bench: Bench,
+    _held: TcpListener,
+    meets: PathBuf,
+    operator: SocketAddr,
+}
+
+/// Where the node's processes meet, in a folder of this test's own.
+fn place() -> (PathBuf, PathBuf) {
+    let dir = file("folder", "");
+    std::fs::remove_file(&dir).expect("it was there");
+    std::fs::create_dir(&dir).expect("a folder");
+    let meets = dir.join("sparbank-n1.takeover");
+    (dir, meets)
+}
+
+fn node_in(dir: &std::path::Path, meets: PathBuf, amqp: Option<&str>) -> Node {
+    let (held, number) = passed();
+    let env = [("NODE_PASSED_SOCKET", number.as_str()), ("TMPDIR", dir.to_str().expect("a path"))];
+    let edit = |text: &str| text.replace(r#""listen":"#, r#""operator":"127.0.0.1:0","listen":"#);
+    let mut bench = Bench::with_env(vec![listener()], amqp, &[], edit, &env);
+    assert_eq!(bench.addr, held.local_addr().expect("an address"), "not the configuration's");
+    let operator = operator(&mut bench);
+    Node { bench, _held: held, meets, operator }
+}
+
+/// Where operators call the process that has just started.
+fn operator(bench: &mut Bench) -> SocketAddr {
+    let line = bench.logged("operator");
+    line.split("listen=").nth(1).and_then(|at| at.parse().ok()).expect("an address")
+}
+
+fn node() -> Node {
+    let (dir, meets) = place();
+    node_in(&dir, meets, None)
+}
+
+impl Node {
+    /// Starts a successor and waits until it serves; gives the old process.
+    fn upgraded(&mut self) -> Process {
+        let mut old = self.bench.upgrade();
+        self.operator = operator(&mut self.bench);
+        self.bench.logged("taking-over");
+        old.logged("handing-over");
+        old
+    }
+
+    /// The same, until the old process is gone.
+    fn replaced(&mut self) -> String {
+        let mut old = self.upgraded();
+        old.signal("-TERM");
+        let counters = old.logged("counters");
+        assert!(old.child.wait().expect("it ends").success());
+        self.bench.logged("taken-over");
+        counters
+    }
+}
+
+fn echo(terminal: &mut Peer, task: &mut Peer, text: &str) {
+    terminal.say(text).say("\r\n");
+    assert_eq!(task.line(), text);
+    task.say(text).say("\r\n");
+    assert_eq!(terminal.line(), text);
 }
 
 #[rstest]
-fn a_second_process_takes_terminals_from_the_same_socket() {
-    let (mut bench, _held) = node(1);
-    let (mut first, _task) = standing(&bench, 1);
-    let mut old = bench.upgrade();
-    bench.logged("started");
+fn what_stands_goes_on_and_nobody_hears_of_it() {
+    let mut node = node();
+    let mut watch = node.bench.watch();
+    let (mut terminal, mut task) = standing(&node.bench, 1);
+    echo(&mut terminal, &mut task, "M 1 x");
+    // Half a line each way, and half of a first line.
+    terminal.say("M 2");
+    task.say("N 2");
+    let mut slow = Peer::connect(node.bench.addr);
+    slow.say("OPEN 2 2 c=live-rea");
+    // What reached the node before this is answered has been read.
+    assert_eq!(Peer::connect(node.bench.addr).say("PING\r\n").line(), "PONG");
+    let counters = node.replaced();
+    assert_eq!(["passed_on", "moved", "upgrades"].map(|name| value(&counters, name)), [1, 0, 1]);
+    terminal.say(" y\r\n");
+    assert_eq!(task.line(), "M 2 y");
+    task.say(" y\r\n");
+    assert_eq!(terminal.line(), "N 2 y");
+    slow.say("dings,t=acme,d=1200,g=5c0f\r\n");
+    let mut second = Peer::accept(&node.bench.regions[0]);
+    second.line();
+    second.say("UP r2\r\n");
+    assert_eq!(slow.line(), "UP r2");
+    // The same call to discovery goes on, and what it brings is heard by the new process.
+    node.bench.change(&mut watch, 0, "draining");
+    watch.say("0\r\n\r\n");
+    node.bench.logged("list-lost");
+    let counters = node.bench.counters();
+    let counts = ["taken_over", "taken", "moved", "list_calls"].map(|name| counters[name]);
+    assert_eq!(counts, [1, 1, 0, 0]);
+    // Its id is that of an open connection here too.
+    assert_eq!(node.bench.terminal(&open(1)).line(), "ERR");
+    drop(task);
+    terminal.ends();
+}
+
+#[rstest]
+fn what_waits_for_its_answer_gets_it_and_goes_on() {
+    let mut node = node();
+    let mut terminal = node.bench.terminal(&open(1));
+    let mut task = Peer::accept(&node.bench.regions[0]);
+    task.line();
+    let mut old = node.upgraded();
+    task.say("UP r1\r\n");
+    assert_eq!(terminal.line(), "UP r1");
     old.signal("-TERM");
-    old.logged("leaving");
-    assert_eq!(first.line(), "MOVE");
+    assert_eq!(value(&old.logged("counters"), "passed_on"), 1);
+    assert!(old.child.wait().expect("it ends").success());
+    echo(&mut terminal, &mut task, "M 1 x");
+}
+
+#[rstest]
+fn two_upgrades_in_a_row_and_a_drained_node_stays_drained() {
+    let mut node = node();
+    let (mut terminal, mut task) = standing(&node.bench, 1);
+    node.replaced();
+    node.replaced();
+    echo(&mut terminal, &mut task, "M 1 x");
+    let said = Peer::connect(node.operator).say("POST /-/drain HTTP/1.1\r\n\r\n").line();
+    assert_eq!(said, "HTTP/1.1 200 OK");
+    assert_eq!(terminal.line(), "MOVE");
+    node.replaced();
+    assert_eq!(Peer::connect(node.bench.addr).say("PING\r\n").line(), "BUSY");
+}
+
+/// It fails at its configuration: the one that runs hears nothing of it.
+#[rstest]
+fn a_successor_that_does_not_start_changes_nothing() {
+    let mut node = node();
+    let (mut terminal, mut task) = standing(&node.bench, 1);
+    node.bench.rewrite(|_| "{".to_string());
+    let mut failed = node.bench.fails_to_start();
+    assert_eq!(failed.wait().expect("it ends").code(), Some(2));
+    echo(&mut terminal, &mut task, "M 1 x");
+    let _second = standing(&node.bench, 2);
+    assert_eq!(node.bench.counter("upgrades"), 0);
+}
+
+/// One that was told what the old process knows, serves, and dies before anything reached it.
+#[rstest]
+#[case::before_it_serves(false)]
+#[case::after_that(true)]
+fn a_successor_that_dies_leaves_the_old_one_serving(#[case] serves: bool) {
+    let mut node = node();
+    let watch = node.bench.watch();
+    let (mut terminal, mut task) = standing(&node.bench, 1);
+    let successor = connect(&node.meets);
+    say(&successor, r#"{"Take":{"version":1,"name":"n1"}}"#);
+    while hear(&successor) != "\"Whole\"" {}
+    if serves {
+        // It ends without having taken what is on its way: this terminal is lost with it.
+        say(&successor, "\"Ready\"");
+        node.bench.logged("handing-over");
+        assert!(hear(&successor).starts_with("{\"Terminal\""));
+    }
+    drop((successor, watch));
+    node.bench.logged("takeover-end successor");
+    // Discovery is asked anew: the watch was given away.
+    let _watch = node.bench.watch();
+    if serves {
+        terminal.ends();
+    } else {
+        echo(&mut terminal, &mut task, "M 1 x");
+    }
+    let _second = standing(&node.bench, 2);
+    assert_eq!(node.bench.counter("served"), 2);
+}
+
+#[rstest]
+#[case::another_version(r#"{"Take":{"version":999,"name":"n1"}}"#)]
+#[case::no_message("what")]
+#[case::out_of_turn(r#"{"State":{"piece":""}}"#)]
+fn who_is_no_successor_is_told_nothing(#[case] said: &str) {
+    let mut node = node();
+    let (mut terminal, mut task) = standing(&node.bench, 1);
+    let other = connect(&node.meets);
+    say(&other, said);
+    assert_eq!(hear(&other), "", "it ends");
+    echo(&mut terminal, &mut task, "M 1 x");
+    // The next one is a successor.
+    node.replaced();
+    echo(&mut terminal, &mut task, "M 2 x");
+}
+
+/// What a process that was killed left there, and what is nobody's.
+#[rstest]
+#[case::a_file(false)]
+#[case::a_socket_that_nobody_holds(true)]
+fn what_was_left_behind_is_replaced(#[case] socket: bool) {
+    let (dir, meets) = place();
+    if socket {
+        drop(listening(&meets));
+    } else {
+        std::fs::write(&meets, "what").expect("a file");
+    }
+    let mut node = node_in(&dir, meets, None);
+    let (mut terminal, mut task) = standing(&node.bench, 1);
+    node.replaced();
+    echo(&mut terminal, &mut task, "M 1 x");
+}
+
+/// Whoever listens there says nothing of use: the process starts as if it were the first.
+#[rstest]
+fn a_predecessor_that_says_what_cannot_be_read_is_left_alone() {
+    let (dir, meets) = place();
+    let listener = listening(&meets);
+    let speaker = std::thread::spawn(move || {
+        let other = rustix::net::accept(&listener).expect("somebody comes");
+        assert!(hear(&other).starts_with("{\"Take\""));
+        say(&other, r#"{"State":{"piece":"{\"drained\":"}}"#);
+        say(&other, "\"Whole\"");
+        hear(&other)
+    });
+    let node = node_in(&dir, meets, None);
+    let _stands = standing(&node.bench, 1);
+    assert_eq!(speaker.join().expect("it spoke"), "", "and it is left");
+}
+
+/// SIGTERM comes to the old process first: what stands still reaches the successor, and no line is lost.
+#[rstest]
+fn a_successor_that_comes_after_sigterm_takes_what_still_stands() {
+    let mut node = node();
+    let (mut terminal, mut task) = standing(&node.bench, 1);
+    node.bench.signal("-TERM");
+    node.bench.logged("leaving");
+    let mut old = node.upgraded();
+    assert_eq!(value(&old.logged("counters"), "passed_on"), 1);
     assert!(old.child.wait().expect("it ends").success());
-    let (_second, _task) = standing(&bench, 2);
-    assert_eq!(bench.counter("served"), 1);
+    echo(&mut terminal, &mut task, "M 1 x");
+}
+
+/// AMQP connections are not passed on: they are told to come again, and do so where the successor listens.
+#[rstest]
+fn the_amqp_front_listens_on_in_the_new_process() {
+    let (dir, meets) = place();
+    let mut node = node_in(&dir, meets, Some(r#"{"listen":"127.0.0.1:0"}"#));
+    let at = node.bench.amqp.expect("it is on");
+    node.replaced();
+    assert!(std::net::TcpStream::connect(at).is_ok());
 }
 
 #[rstest]
@@ -53,3 +280,36 @@
     assert!(line.starts_with(&format!("sparbank error NODE_PASSED_SOCKET: \"{number}\": ")), "{line}");
     assert_eq!(line.lines().count(), 1, "{line}");
 }
+
+// ---- A scripted process at the meeting place ----------------------------------------------------
+
+fn seqpacket() -> OwnedFd {
+    rustix::net::socket_with(AddressFamily::UNIX, SocketType::SEQPACKET, SocketFlags::CLOEXEC, None)
+        .expect("a socket")
+}
+
+fn connect(at: &std::path::Path) -> OwnedFd {
+    let fd = seqpacket();
+    rustix::net::connect(&fd, &SocketAddrUnix::new(at).expect("a path")).expect("it listens");
+    fd
+}
+
+fn listening(at: &std::path::Path) -> OwnedFd {
+    let fd = seqpacket();
+    rustix::net::bind(&fd, &SocketAddrUnix::new(at).expect("a path")).expect("a free path");
+    rustix::net::listen(&fd, 1).expect("it listens");
+    fd
+}
+
+fn say(fd: &OwnedFd, text: &str) {
+    send(fd, text.as_bytes(), SendFlags::NOSIGNAL).expect("sent");
+}
+
+/// The next message; empty at the end. Its descriptors are closed with it.
+fn hear(fd: &OwnedFd) -> String {
+    let mut bytes = vec![0; 128 * 1024];
+    match recv(fd, &mut bytes, RecvFlags::empty()) {
+        Ok((count, _)) => String::from_utf8_lossy(&bytes[..count]).into_owned(),
+        Err(_) => String::new(),
+    }
+}
