Read a region's LOAD that tells a delay as the delay of its messages, not as a load

Change: front/text/notes.rs reads each note of a connection: one second (within 10 ms) after the note before, or nearer in ratio to the class's message aim in ms than to the last load in us, it is a delay and goes to the region's delay of that second, which `note_delays` passes on as before; a beat also makes the note before it a delay and gives the load back. Only where the settings say delays are told.

--- a/src/front/text.rs
+++ b/src/front/text.rs
@@ -6,11 +6,13 @@
 use super::{Ctx, Due, Front, Luggage, ANSWER_MARGIN, TEXT};
 use crate::interface::*;
 use crate::net::{Flow, Kind, Notice, Owner, Token, SLOW};
-use first_line::{load, FirstLine, Open};
+use first_line::{FirstLine, Open};
+use notes::{Note, Notes};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
 
 mod first_line;
+mod notes;
 
 /// The longest line, its end included.
 const MOST_LINE: usize = 4096;
@@ -44,6 +46,8 @@
     last: Ending,
     /// The load that the region told last.
     load: Option<Nanos>,
+    /// What its notes were, to tell a delay from a load.
+    notes: Notes,
 }
 
 impl Session {
@@ -167,7 +171,7 @@
         let at = open.at.clone();
         let (txn, region, task, up) = (None, None, None, false);
         let (asked, last, load) = (None, Ending::Broken, None);
-        let session = Session { open, txn, region, task, up, asked, last, load };
+        let session = Session { open, txn, region, task, up, asked, last, load, notes: Notes::default() };
         self.sessions.insert(token, session);
         match at {
             Some(name) => self.restore(ctx, token, &name),
@@ -452,7 +456,8 @@
                 self.sides.insert(task, Side::Task(token));
                 self.terminals.insert(txn, token);
                 let (txn, region, up) = (Some(txn), Some(region), true);
-                let session = Session { open, txn, region, task: Some(task), up, asked, last, load };
+                let notes = Notes::default();
+                let session = Session { open, txn, region, task: Some(task), up, asked, last, load, notes };
                 session.trace("took", ctx);
                 self.sessions.insert(token, session);
                 self.task(ctx, token, task, None);
@@ -642,7 +647,23 @@
     };
     match (text.strip_prefix(b"LOAD "), session.txn) {
         (Some(value), Some(id)) => {
-            if let Some(cost) = std::str::from_utf8(value).ok().and_then(load) {
+            let told = ctx.facts.family_info.tells_delay;
+            let aim = ctx.classes.get(session.open.class).and_then(|c| c.message_aim).filter(|_| told);
+            let (now, load) = (ctx.now, session.load);
+            let note = std::str::from_utf8(value).ok().and_then(|v| session.notes.read(now, v, aim, load));
+            let cost = match note {
+                Some(Note::Load(cost)) => Some(cost),
+                Some(Note::Delay { delay, load }) => {
+                    if let Some(region) = session.region {
+                        let told = delays.entry(region).or_default();
+                        told.latest = told.latest.max(Some(delay));
+                    }
+                    crate::log::trace(format_args!("trace delay txn={} ms={}", id.0, delay / 1_000_000));
+                    load.flatten()
+                }
+                None => None,
+            };
+            if let Some(cost) = cost {
                 crate::log::trace(format_args!("trace load txn={} us={}", id.0, cost / 1_000));
                 session.load = Some(cost);
                 ctx.core.tell(Event::LoadNote { id, cost });
