--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -314,17 +314,26 @@
     assert!((30..60).any(|id| tried(&relay.request(id, 0)) == Some(bad)), "it is tried again");
 }
 
-/// Found on suva overload: what was moved off one jam poured into the next free server.
-#[test]
-fn a_jammed_server_sheds_takes_nothing_and_is_refilled_slowly() {
-    let mut relay = Relay::new(1, settings(), serving(2));
+/// A relay with 100 standing connections on two servers.
+fn two_that_hold_fifty(settings: Settings) -> Relay {
+    let mut relay = Relay::new(1, settings, serving(2));
     for id in 0..100 {
         let server = tried(&relay.request(id, 0)).expect("placed");
         relay.stands(id, server);
     }
+    relay
+}
+
+fn moved(actions: &[Action]) -> usize {
+    actions.iter().filter(|a| matches!(a, Action::GoAway(_))).count()
+}
+
+/// Found on suva overload: what was moved off one jam poured into the next free server.
+#[test]
+fn a_jammed_server_sheds_takes_nothing_and_is_refilled_slowly() {
+    let mut relay = two_that_hold_fifty(settings());
     let jammed = ServerId(0);
     let note = |delay| Event::DelayNote { server: jammed, delay };
-    let moved = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::GoAway(_))).count();
     let first = moved(&relay.tell(note(400 * MS)));
     assert!((10..=25).contains(&first), "{first} of 50 moved as the delay rose by 0.4 s in a second");
     relay.now += S;
@@ -342,15 +351,9 @@
 /// first whether it is over what it can do; a second late note in a row moves without asking.
 #[test]
 fn a_late_region_is_asked_first_where_probes_are_allowed() {
-    let probes = Settings { probes: true, ..settings() };
-    let mut relay = Relay::new(1, probes, serving(2));
-    for id in 0..100 {
-        let server = tried(&relay.request(id, 0)).expect("placed");
-        relay.stands(id, server);
-    }
+    let mut relay = two_that_hold_fifty(Settings { probes: true, ..settings() });
     let late = ServerId(0);
     let note = |delay| Event::DelayNote { server: late, delay };
-    let moved = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::GoAway(_))).count();
     assert_eq!(relay.tell(note(390 * MS)), [Action::Probe(late)]);
     assert_eq!(relay.tell(Event::Probed { server: late, over: Some(0.7) }), [], "it stood still: all stays");
     assert!((200..220).all(|id| tried(&relay.request(id, 0)) != Some(late)), "nothing new while it is late");
