Read every LOAD note as a load: nothing on a socket tells a delay

The protocol pages promise that LOAD tells the load whenever it changes, and no beat; a small load is as good a load. Not taken: a narrower beat, which would again carry decisions by what no page promises.

Change: LOAD X is the connection's load. src/front/text/notes.rs is gone. The test writes a note on the beat and near the aim; on the sources before this it waits for the load in vain.

--- a/src/front/text.rs
+++ b/src/front/text.rs
@@ -7,13 +7,11 @@
 use crate::interface::*;
 use crate::net::{Flow, Kind, Notice, Owner, Token, SLOW};
 use first_line::{FirstLine, Open};
-use notes::{Note, Notes};
 use probe::{Ask, Probes, PROBE_WAIT, STATS};
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
 
 mod first_line;
-mod notes;
 mod probe;
 
 /// The longest line, its end included.
@@ -50,8 +48,6 @@
     last: Ending,
     /// The load that the region told last.
     load: Option<Nanos>,
-    /// What its notes were, to tell a delay from a load.
-    notes: Notes,
 }
 
 impl Session {
@@ -177,7 +173,7 @@
         let at = open.at.clone();
         let (txn, region, task, up) = (None, None, None, false);
         let (asked, last, load) = (None, Ending::Broken, None);
-        let session = Session { open, txn, region, task, up, asked, last, load, notes: Notes::default() };
+        let session = Session { open, txn, region, task, up, asked, last, load };
         self.sessions.insert(token, session);
         match at {
             Some(name) => self.restore(ctx, token, &name),
@@ -499,8 +495,7 @@
                 self.sides.insert(task, Side::Task(token));
                 self.terminals.insert(txn, token);
                 let (txn, region, up) = (Some(txn), Some(region), true);
-                let notes = Notes::default();
-                let session = Session { open, txn, region, task: Some(task), up, asked, last, load, notes };
+                let session = Session { open, txn, region, task: Some(task), up, asked, last, load };
                 session.trace("took", ctx);
                 self.sessions.insert(token, session);
                 self.task(ctx, token, task, None);
@@ -717,24 +712,10 @@
         said_report(text, "BYE", ());
     }
     match (text.strip_prefix(b"LOAD "), session.txn) {
+        // The protocol's one meaning of it: the connection's load now. Nothing on a socket tells a delay.
         (Some(value), Some(id)) => {
-            let told = ctx.facts.family_info.tells_delay;
-            let aim = ctx.classes.get(session.open.class).and_then(|c| c.message_aim).filter(|_| told);
-            let (now, load) = (ctx.now, session.load);
-            let note = std::str::from_utf8(value).ok().and_then(|v| session.notes.read(now, v, aim, load));
-            let cost = match note {
-                Some(Note::Load(cost)) => Some(cost),
-                Some(Note::Delay { delay, load }) => {
-                    if let Some(region) = session.region {
-                        let told = delays.entry(region).or_default();
-                        told.latest = told.latest.max(Some(delay));
-                    }
-                    crate::log::trace(format_args!("trace delay txn={} ms={}", id.0, delay / 1_000_000));
-                    load.flatten()
-                }
-                None => None,
-            };
-            if let Some(cost) = cost {
+            let told = std::str::from_utf8(value).ok().and_then(|text| first_line::load(text.trim()));
+            if let Some(cost) = told {
                 crate::log::trace(format_args!("trace load txn={} us={}", id.0, cost / 1_000));
                 session.load = Some(cost);
                 ctx.core.tell(Event::LoadNote { id, cost });
--- a/tests/text.rs
+++ b/tests/text.rs
@@ -37,6 +37,24 @@
     assert_eq!([value(&counters, "taken"), value(&counters, "served"), value(&counters, "ended")], [1, 1, 1]);
 }
 
+/// Where the settings say that delays are told too, a `LOAD` is a load all the same, whenever it comes and
+/// however small it is: regions tell it whenever it changes, so no beat and no ratio makes it a delay.
+#[rstest]
+fn every_load_note_is_a_load() {
+    let tells = |text: &str| text.replace(r#""FamilyInfo":{"#, r#""FamilyInfo":{"TellsDelay":true,"#);
+    let mut bench = Bench::with_args(vec![listener()], None, &["--trace"], tells);
+    let mut terminal = bench.terminal(OPEN);
+    let (_, mut task) = task(&bench);
+    task.line();
+    task.say("UP r1\r\nLOAD 2727\r\n");
+    assert!(bench.logged("trace load").ends_with("us=2727"));
+    // A whole second later, and nearer to the class's aim in milliseconds than to the load before it.
+    std::thread::sleep(Duration::from_millis(1_000));
+    task.say("LOAD 90\r\n");
+    assert!(bench.logged("trace load").ends_with("us=90"));
+    assert_eq!([terminal.line(), terminal.line(), terminal.line()], ["UP r1", "LOAD 2727", "LOAD 90"]);
+}
+
 #[rstest]
 #[case::reset_before_an_answer("")]
 #[case::error("ERR\r\n")]
