Give those that come again a window, old entries one try, and cold regions few groups

Need: when most nodes restart at once, each placed all its returning clients after one sleep. In the rig (12 nodes, all killed at once, ledger 25.6 set-ups a second) 73 set-ups came in one second, none of 36 stood in it, and after 11 s 94 of 96 stood.

Change: src/returns.rs, without I/O: returning clients, repeats and retries share a window that begins at one, grows by half with each quick set-up, and shrinks with late and failed ones; after two failures they also keep the gap of the node's part, and whoever can't wait for its turn is told when to come. New clients' first attempts never wait. An entry that only the saved list names is ejected for up to 30 s once it failed, until a newer list names it. A list whose version goes back removes and revives nothing (service_table.rs). Cold regions draw one in eight groups eight times as often: a group costs three connections, which a region at an eighth of its capacity hardly bears.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -4,9 +4,10 @@
 //! Full Jitter sleep and is placed again: the best of a few random servers by this relay's own open
 //! connections. Everything else here says which servers may be drawn, and how often.
 
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, COLD_GROUPS};
 use crate::interface::*;
 use crate::random::{below, mix, unit, Rng};
+use crate::returns::{backoff, Returns};
 use serde::{Deserialize, Serialize};
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,8 +20,6 @@
 const BASE_PART: u64 = 4;
 /// Backoff cap, as a part of the time that the class's client waits.
 const CAP_PART: u64 = 4;
-/// The relay's own counter stops here: beyond it the sleep is at its cap in any case.
-const MOST_STRAIN: u32 = 8;
 /// Ejection starts at up to this and doubles: about the time of one noticed failure.
 const EJECT_BASE: Nanos = 1_000_000_000;
 /// Ejection never exceeds this, so that a server restored unseen is tried again.
@@ -72,7 +71,9 @@
     roll: u64,
     group: Option<u64>,
     rerouted: bool,
-    /// It had to wait for the relay's part of the set-ups.
+    /// The client comes again: its first attempt waits its turn as a repeat does.
+    again: bool,
+    /// It waits for the relay's part of the set-ups.
     paced: bool,
     /// Work a second, as hinted or told; zero where it is not known.
     cost: Nanos,
@@ -110,6 +111,9 @@
     broken_at: Nanos,
     failures: u32,
     ejected_until: Nanos,
+    /// Only a list that may be old names it: once it failed, it is hardly asked before a newer one does.
+    #[serde(skip)]
+    unsure: bool,
     /// The part of what stands there that is to go if a probe finds it over what it can do.
     #[serde(skip)]
     asked: f64,
@@ -130,12 +134,7 @@
     rate: f64,
     rate_at: Nanos,
     requests: BTreeMap<RequestId, Request>,
-    /// The design's counter for the relay as a whole: set-ups that failed in a row, as it were.
-    strain: u32,
-    /// When it last rose: what was sent before that and fails tells nothing new.
-    strained_at: Nanos,
-    next_setup: Nanos,
-    pacing: bool,
+    returns: Returns,
     list_calls: u32,
     /// The timer that asks for the list: of several failures only the last one's counts.
     list_timer: u64,
@@ -158,13 +157,13 @@
 
     /// What this relay learned of the servers, for a process that takes its place and knows the same ones.
     pub fn learned(&self) -> String {
-        serde_json::to_string(&(self.strain, self.rate, self.rate_at, &self.servers)).unwrap_or_default()
+        serde_json::to_string(&(self.rate, self.rate_at, &self.servers)).unwrap_or_default()
     }
 
     /// Takes that over. What cannot be read changes nothing; what is of servers not known is left out.
     pub fn learn(&mut self, learned: &str) -> Result<(), serde_json::Error> {
         let servers: Vec<Server>;
-        (self.strain, self.rate, self.rate_at, servers) = serde_json::from_str(learned)?;
+        (self.rate, self.rate_at, servers) = serde_json::from_str(learned)?;
         for s in servers {
             if let Some(known) = self.servers.iter_mut().find(|k| (k.tag, k.born) == (s.tag, s.born)) {
                 let status = known.status;
@@ -186,12 +185,8 @@
             Event::Established { id, server, waited } => {
                 if let Some(request) = self.requests.get_mut(&id) {
                     request.phase = Phase::Open;
-                    let soon = self.settings.classes[request.class].objective / BASE_PART;
-                    self.strain = self.strain.saturating_sub(u32::from(waited <= soon));
-                    self.fleet.stood(request.paced, waited <= soon);
-                }
-                if self.strain == 0 && std::mem::take(&mut self.pacing) {
-                    out.push(Action::Log("set-ups stand again".to_string()));
+                    let quick = waited <= self.settings.classes[request.class].objective / 2;
+                    out.extend(self.returns.stood(quick).map(log));
                 }
                 self.succeeded(server);
             }
@@ -228,14 +223,24 @@
         let (draw, roll) = (drawn_by.map_or(random, mix), random);
         let deadline = self.now.saturating_add(arrival.grace);
         let (rerouted, cost) = (arrival.rerouted, arrival.cost.unwrap_or(0));
-        let request =
-            Request { class, deadline, phase, draw, roll, group, rerouted, cost, ..Request::default() };
+        let again = arrival.came_back || arrival.repeated;
+        let request = Request {
+            class,
+            deadline,
+            phase,
+            draw,
+            roll,
+            group,
+            rerouted,
+            cost,
+            again,
+            ..Request::default()
+        };
         self.requests.entry(arrival.id).or_insert(request)
     }
 
     fn arrived(&mut self, arrival: &Arrival, out: Out) {
-        self.admit(arrival, Phase::Sleeping);
-        if arrival.came_back || arrival.repeated {
+        if self.admit(arrival, Phase::Sleeping).again {
             self.sleep(arrival.id, out);
         } else {
             self.place(arrival.id, out);
@@ -245,7 +250,7 @@
     /// Waits a Full Jitter sleep, uniform in [0, min(cap, base * 2^attempt)], but not past the deadline.
     fn sleep(&mut self, id: RequestId, out: Out) {
         let roll = self.rng.next_u64();
-        let spread = self.fleet.gap(self.requests.len());
+        let spread = self.gap();
         let Some(request) = self.requests.get_mut(&id) else { return };
         let class = &self.settings.classes[request.class];
         request.failed += 1;
@@ -267,7 +272,9 @@
 
     fn place(&mut self, id: RequestId, out: Out) {
         let Some(request) = self.requests.get(&id) else { return };
+        let late = request.paced && self.returns.too_late(self.now, self.gap(), request.deadline);
         if self.now >= request.deadline
+            || late
             || request.shots >= self.settings.max_attempts
             || !self.may_repeat(request)
         {
@@ -277,29 +284,26 @@
         let slice = (request.deadline - self.now) / tries_left;
         let rerouted = request.rerouted && request.shots == 0;
         let holder = if rerouted { self.holder(id) } else { None };
-        let strained = self.strain > 1 && self.now < self.next_setup;
-        let pick = if strained { None } else { holder.or_else(|| self.pick(id)) };
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let comes_again = request.again || request.shots > 0;
+        let waits = self.returns.wait(self.now, comes_again, &mut request.paced);
+        let pick = if waits { None } else { holder.or_else(|| self.pick(id)) };
         (self.rate, self.rate_at) = (self.rate_with_one(), self.now);
         let Some(request) = self.requests.get_mut(&id) else { return };
-        request.paced |= strained;
         let Some(server) = pick else { return self.sleep(id, out) };
         request.phase = Phase::Trying;
         request.shots += 1;
         request.sent = self.now;
         request.tried.push(server);
-        let class = request.class;
         self.hold(server, id);
-        self.pace_setups(class);
+        let gap = below(self.rng.next_u64(), 2 * self.gap());
+        self.returns.sent(self.now.saturating_add(gap));
         out.push(Action::Try { id, server, give_up: slice.max(1) });
     }
 
-    /// Set-ups that fail at one server after another fail at something that all servers share. The
-    /// relay as a whole is then the paper's writer: it waits one Full Jitter sleep between set-ups.
-    fn pace_setups(&mut self, class: usize) {
-        let gap = (2 * self.fleet.gap(self.requests.len())) << self.strain.min(3);
-        let class = &self.settings.classes[class];
-        let limit = backoff(class.objective / BASE_PART, class.hard_limit, self.strain).max(gap);
-        self.next_setup = self.now.saturating_add(below(self.rng.next_u64(), limit));
+    /// What this relay's set-ups keep apart.
+    fn gap(&self) -> Nanos {
+        self.fleet.gap(self.requests.len(), self.returns.part())
     }
 
     /// Rule 2: whether one more attempt can do no harm (the pick keeps to the right group).
@@ -314,7 +318,9 @@
 
     /// The one final answer: a refusal where that promise can be made, a failure otherwise.
     fn give_up(&mut self, id: RequestId, out: Out) {
+        let turn = self.returns.turn(self.gap());
         let Some(request) = self.requests.remove(&id) else { return };
+        self.returns.leave(request.paced);
         let class = &self.settings.classes[request.class];
         let harmless = match (class.effect, request.may_have_run) {
             (Effect::ReadLike, _) | (_, None) => true,
@@ -323,7 +329,7 @@
         };
         if harmless {
             let most = self.settings.max_retry_after;
-            let cool_down = below(self.rng.next_u64(), most);
+            let cool_down = below(self.rng.next_u64(), most).max(turn.min(most));
             out.push(Action::Decline { id, cool_down });
         } else {
             out.push(Action::Fail(id));
@@ -333,7 +339,10 @@
     fn vanished(&mut self, id: RequestId, out: Out) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         match request.phase {
-            Phase::Sleeping => drop(self.requests.remove(&id)),
+            Phase::Sleeping => {
+                self.returns.leave(request.paced);
+                self.requests.remove(&id);
+            }
             Phase::Trying if self.settings.may_cancel && !request.ended => {
                 request.ended = true;
                 out.push(Action::Recall { id, shot: request.shots - 1 });
@@ -354,13 +363,9 @@
         }
         let ended = request.ended || done;
         let stood = request.phase == Phase::Open;
-        let fails = request.phase == Phase::Trying && matches!(outcome, Outcome::Error | Outcome::Timeout);
-        if fails && request.sent >= self.strained_at {
-            (self.strain, self.strained_at) = ((self.strain + 1).min(MOST_STRAIN), self.now);
-            self.fleet.failed();
-            if self.strain > 1 && !std::mem::replace(&mut self.pacing, true) {
-                out.push(Action::Log("set-ups fail in a row: the relay paces them".to_string()));
-            }
+        let fails = !stood && matches!(outcome, Outcome::Error | Outcome::Timeout);
+        if !stood {
+            out.extend(self.returns.over(fails.then_some(request.sent), self.now).map(log));
         }
         if ended {
             self.requests.remove(&id);
@@ -368,7 +373,8 @@
         match outcome {
             Outcome::Reset if stood => self.broke(server),
             Outcome::Ok => self.succeeded(server),
-            Outcome::Cancelled | Outcome::Moot | Outcome::Reset | Outcome::Full => {}
+            Outcome::Cancelled | Outcome::Moot | Outcome::Full => {}
+            Outcome::Reset if !self.server(server).unsure => {}
             _ => self.failed(server),
         }
         if !ended {
@@ -422,8 +428,8 @@
             // A cold server gets the part of our placements that it bears, however few others are free
             // and however much or little we hold there: a request that falls to it goes to it.
             let cold = warmth < 1.0;
-            // It is twice as likely, or never, as the draw has it: so groups gather at cold servers too.
-            let lean = 2.0 * unit(mix(request.draw ^ s.tag));
+            // It takes few groups, and those so much more often: each costs what it hardly bears yet.
+            let lean = f64::from(unit(mix(request.draw ^ s.tag)) < COLD_GROUPS) / COLD_GROUPS;
             let weight = if cold { lean * s.nominal } else { all };
             if unit(mix(mix(request.roll ^ s.tag) ^ self.salt)) >= self.bears(s, warmth) * weight {
                 continue;
@@ -442,8 +448,7 @@
                 drawn.truncate(CANDIDATES);
             }
         }
-        // The rank stands for the one more: that is one on the mean, and where few of ours are held
-        // anywhere it decides, so that relays together spread by size and don't all take the largest.
+        // The rank stands for the one more: where few of ours are held it decides, so relays spread by size.
         let usual = self.fleet.usual(self.ready.len());
         let crowd = |(rank, server): (f64, ServerId)| {
             let s = self.server(server);
@@ -509,7 +514,8 @@
         let roll = self.rng.next_u64();
         if let Some(s) = self.servers.get_mut(server.0 as usize) {
             s.failures += 1;
-            let until = self.now.saturating_add(below(roll, backoff(EJECT_BASE, EJECT_CAP, s.failures)));
+            let base = if s.unsure { EJECT_CAP } else { EJECT_BASE };
+            let until = self.now.saturating_add(below(roll, backoff(base, EJECT_CAP, s.failures)));
             s.ejected_until = s.ejected_until.max(until);
         }
     }
@@ -606,7 +612,8 @@
     /// Placements that this relay wants in a nanosecond, found or not, over about the time in which a server
     /// falls over: requests that wait would all go where there is room at last, the one in hand too.
     fn rate_with_one(&self) -> f64 {
-        let span = self.settings.tip_after.max(2 * self.fleet.gap(self.requests.len())).max(1) as f64;
+        let span =
+            self.settings.tip_after.max(2 * self.fleet.gap(self.requests.len(), Some(1.0))).max(1) as f64;
         let age = self.now.saturating_sub(self.rate_at) as f64;
         self.rate * (-age / span).exp() + 1.0 / span
     }
@@ -616,7 +623,7 @@
     fn members(&mut self, kind: ListKind, members: Vec<Member>, out: Out) {
         if kind == ListKind::Failed {
             if self.subscribed {
-                out.push(Action::Log("the server list is lost: keeping the last".to_string()));
+                out.push(log("the server list is lost: keeping the last"));
             }
             self.subscribed = false;
             return self.ask_later(out);
@@ -624,6 +631,8 @@
         if matches!(kind, ListKind::Saved | ListKind::Full) {
             self.servers.iter_mut().for_each(|s| s.status = Status::Gone);
         }
+        let sure = |s: &mut Server| s.ejected_until *= u64::from(!std::mem::take(&mut s.unsure));
+        self.servers.iter_mut().for_each(sure);
         for m in members {
             let at = m.server.0 as usize;
             if self.servers.len() <= at {
@@ -635,7 +644,7 @@
             }
             s.nominal = if m.nominal.is_finite() && m.nominal > 0.0 { m.nominal } else { 1.0 };
             (s.tag, s.zone, s.cell) = (m.tag, m.zone, m.cell);
-            (s.born, s.status) = (m.born, m.status);
+            (s.born, s.status, s.unsure) = (m.born, m.status, kind == ListKind::Saved);
         }
         let serving = |at: &usize| self.servers[*at].status == Status::Serving;
         self.ready = (0..self.servers.len()).filter(serving).map(|at| ServerId(at as u32)).collect();
@@ -658,12 +667,11 @@
     }
 }
 
+fn log(words: &str) -> Action {
+    Action::Log(words.to_string())
+}
+
 /// A server's place in the order that a request draws, least first: a weighted rendezvous.
 fn rank(request: &Request, s: &Server) -> f64 {
     -unit(mix(request.draw ^ s.tag)).ln() / s.nominal
 }
-
-/// min(cap, base * 2^attempt).
-fn backoff(base: Nanos, cap: Nanos, attempt: u32) -> Nanos {
-    base.saturating_mul(1 << attempt.min(32)).min(cap)
-}
--- a/src/front/text.rs
+++ b/src/front/text.rs
@@ -56,8 +56,8 @@
             let (txn, open) = (self.txn.map_or(0, |txn| txn.0), &self.open);
             let region = self.region.and_then(|region| ctx.table.region(region)).map_or("-", |r| r.name());
             crate::log::line(format_args!(
-                "trace terminal {what} txn={txn} key={:x} class={} region={region} again={} repeat={} up={}",
-                open.key, open.class, open.came_back, open.repeated, self.up
+                "trace terminal {what} txn={txn} key={:x} group={:x} class={} region={region} again={} repeat={} up={}",
+                open.key, open.group.unwrap_or(0), open.class, open.came_back, open.repeated, self.up
             ));
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,6 +77,7 @@
 mod net;
 mod node;
 mod operator;
+pub mod returns;
 mod service_table;
 mod takeover;
 pub mod wire;
--- a/src/service_table.rs
+++ b/src/service_table.rs
@@ -219,9 +219,9 @@
         watch.lists += lists.len() as u32;
         let mut events = Vec::new();
         for list in lists {
-            let whole = list.reset;
-            let kind = if whole { ListKind::Full } else { ListKind::Incremental };
-            events.push(Event::Members(kind, self.take(&list, whole)));
+            let back = list.generation < self.generation;
+            let kind = if list.reset && !back { ListKind::Full } else { ListKind::Incremental };
+            events.push(Event::Members(kind, self.take(&list, list.reset)));
         }
         if let Err(error) = sound {
             crate::log::line(format_args!("list-lost reason={error:?}"));
@@ -248,9 +248,15 @@
         failed()
     }
 
+    /// What a list changes. One whose version goes back is no news: what it leaves out stays, and what has
+    /// been told to stop since is not revived by it.
     fn take(&mut self, list: &List, whole: bool) -> Vec<Member> {
-        self.generation = list.generation;
-        if whole {
+        let back = list.generation < self.generation;
+        if back {
+            crate::log::line(format_args!("list-back version={} held={}", list.generation, self.generation));
+        }
+        self.generation = self.generation.max(list.generation);
+        if whole && !back {
             self.regions.iter_mut().for_each(|r| r.entry.lifecycle = Lifecycle::Gone);
         }
         for entry in &list.instances {
@@ -259,7 +265,18 @@
                 entry.instance_id, entry.zone, entry.lifecycle, entry.weight, entry.started_at_ms
             ));
         }
-        list.instances.iter().map(|entry| self.member(entry)).collect()
+        let news = |entry: &&Entry| !(back && self.has_stopped(entry));
+        let news: Vec<Entry> = list.instances.iter().filter(news).cloned().collect();
+        news.iter().map(|entry| self.member(entry)).collect()
+    }
+
+    /// Whether this very process of a region has been told to stop, or a later one is known.
+    fn has_stopped(&self, entry: &Entry) -> bool {
+        let known = self.numbers.get(&entry.instance_id).map(|server| &self.regions[server.0 as usize]);
+        known.is_some_and(|region| {
+            let known = region.entry.started_at_ms;
+            known > entry.started_at_ms || (known == entry.started_at_ms && !region.serving())
+        })
     }
 
     fn member(&mut self, entry: &Entry) -> Member {
@@ -442,6 +459,40 @@
         (lines, Ok(()))
     }
 
+    fn list(generation: u64, reset: bool, entries: &[(&str, &str, u64)]) -> List {
+        let entry = |(name, lifecycle, started): &(&str, &str, u64)| {
+            let addr = "127.0.0.1:1";
+            format!(
+                r#"{{"instanceId":"{name}","hostPort":"{addr}","lifecycle":"{lifecycle}","startedAtMs":{started}}}"#
+            )
+        };
+        let entries: Vec<String> = entries.iter().map(entry).collect();
+        let text =
+            format!(r#"{{"generation":{generation},"reset":{reset},"instances":[{}]}}"#, entries.join(","));
+        serde_json::from_str(&text).expect("a list")
+    }
+
+    /// A list from before the last ones revives nothing and removes nothing; what is new in it is taken, and
+    /// so is what it stops.
+    #[test]
+    fn a_version_that_goes_back_revives_nothing() {
+        let mut table = ServiceTable::new(SocketAddr::from(([127, 0, 0, 1], 1)), Vec::new());
+        table.take(&list(5, true, &[("a", "ready", 0), ("b", "ready", 0), ("c", "ready", 9)]), true);
+        table.take(&list(6, false, &[("a", "draining", 0)]), false);
+        table.take(&list(7, false, &[("b", "gone", 0), ("c", "ready", 10)]), false);
+        let old =
+            list(5, true, &[("a", "ready", 0), ("b", "ready", 0), ("c", "ready", 9), ("d", "ready", 0)]);
+        let news = table.take(&old, true);
+        assert_eq!(news.iter().map(|m| m.server).collect::<Vec<_>>(), [ServerId(3)], "only what nobody knew");
+        let serves = |name| table.named(name).and_then(|s| table.region(s)).is_some_and(Region::serving);
+        assert_eq!(["a", "b", "c", "d"].map(serves), [false, false, true, true]);
+        assert_eq!(table.generation, 7);
+        let stops = table.take(&list(6, false, &[("d", "draining", 0)]), false);
+        assert_eq!(stops.len(), 1, "what stops is taken from any version");
+        // Its next process is another one.
+        assert_eq!(table.take(&list(6, false, &[("b", "ready", 11)]), false).len(), 1);
+    }
+
     #[rstest::rstest]
     #[case(1)]
     #[case(7)]
