--- a/src/core.rs
+++ b/src/core.rs
@@ -396,8 +396,10 @@
                 Some(Command::Stop { front, txn: id })
             }
             Action::Decline { id, cool_down } => {
+                let unsent = self.transactions.get(&id).is_some_and(|t| t.shots == 0);
                 let front = self.answer(now, id, FlowResult::Refused)?;
                 self.counters.refused += 1;
+                self.counters.refused_unsent += u64::from(unsent);
                 Some(Command::Refuse { front, txn: id, cool_down })
             }
             Action::Fail(id) => {
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -32,6 +32,8 @@
     served,
     /// Answered refused.
     refused,
+    /// Of these, with no attempt made: it waited for its turn, or no region could be drawn.
+    refused_unsent,
     /// Answered failed.
     failed,
     /// The terminal left before an answer.
@@ -64,6 +66,8 @@
     list_calls,
     /// Failed calls to discovery and lost watches.
     list_failed,
+    /// Lists whose version went back, which revive nothing.
+    list_back,
     /// Times that this process took another's place, or another took this one's.
     upgrades,
     /// Standing connections that went on in the next process, and that came from the one before.
--- a/src/node.rs
+++ b/src/node.rs
@@ -521,6 +521,7 @@
 
     fn print_counters(&mut self) {
         self.core.counters.list_calls = self.table.calls;
+        self.core.counters.list_back = self.table.backs;
         if let Some(counts) = self.operator.as_ref().map(Operator::counts) {
             let counters = &mut self.core.counters;
             (counters.operator_yes, counters.operator_no, counters.operator_unheard) =
--- a/src/service_table.rs
+++ b/src/service_table.rs
@@ -99,12 +99,14 @@
     watch: Option<Watch>,
     /// Calls made so far.
     pub calls: u64,
+    /// Lists so far whose version went back.
+    pub backs: u64,
 }
 
 impl ServiceTable {
     pub fn new(discovery: SocketAddr, zones: Vec<String>) -> ServiceTable {
         let (regions, numbers) = (Vec::new(), HashMap::new());
-        ServiceTable { discovery, zones, generation: 0, regions, numbers, watch: None, calls: 0 }
+        ServiceTable { discovery, zones, generation: 0, regions, numbers, watch: None, calls: 0, backs: 0 }
     }
 
     /// A region by its number.
@@ -253,6 +255,7 @@
     fn take(&mut self, list: &List, whole: bool) -> Vec<Member> {
         let back = list.generation < self.generation;
         if back {
+            self.backs += 1;
             crate::log::line(format_args!("list-back version={} held={}", list.generation, self.generation));
         }
         self.generation = self.generation.max(list.generation);
@@ -486,7 +489,7 @@
         assert_eq!(news.iter().map(|m| m.server).collect::<Vec<_>>(), [ServerId(3)], "only what nobody knew");
         let serves = |name| table.named(name).and_then(|s| table.region(s)).is_some_and(Region::serving);
         assert_eq!(["a", "b", "c", "d"].map(serves), [false, false, true, true]);
-        assert_eq!(table.generation, 7);
+        assert_eq!((table.generation, table.backs), (7, 1));
         let stops = table.take(&list(6, false, &[("d", "draining", 0)]), false);
         assert_eq!(stops.len(), 1, "what stops is taken from any version");
         // Its next process is another one.
--- a/tests/coming_back.rs
+++ b/tests/coming_back.rs
@@ -198,6 +198,54 @@
     });
 }
 
+/// Time to full service, measured: this version, the one before (`FLEET_BEFORE=path`), and the least that the
+/// ledger allows. `FLEET_SEEDS`, `FLEET_NODES`; four runs at a time. Nothing is asserted: the page quotes it.
+#[test]
+#[ignore = "a measurement of some minutes"]
+fn time_to_full_service() {
+    let (seeds, nodes) = plays(&[1, 2, 3, 4, 5, 6, 7, 8, 9, 10], 12);
+    let before = std::env::var("FLEET_BEFORE").ok();
+    let versions = [("now", Some(program().to_string())), ("before", before)];
+    let figures = Figures::of(nodes);
+    for part in [0.7, 1.0] {
+        for (name, program) in &versions {
+            let Some(program) = program else { continue };
+            let one = |seed: u64| {
+                run(async {
+                    let mut rig = Rig::start(seed, figures.clone(), program).await;
+                    let known = rig.regions.list();
+                    let which = rig.draw(part);
+                    rig.kill(&which);
+                    rig.restart(&which, &known);
+                    rig.seconds(30).await;
+                    rig.measured()
+                })
+            };
+            let mut runs = Vec::new();
+            for some in seeds.chunks(4) {
+                std::thread::scope(|scope| {
+                    let all: Vec<_> = some.iter().map(|seed| scope.spawn(move || one(*seed))).collect();
+                    runs.extend(all.into_iter().map(|run| run.join().expect("a run")));
+                });
+            }
+            let none = Duration::from_secs(99);
+            let mut times: Vec<Duration> = runs.iter().map(|s| s.full_service.unwrap_or(none)).collect();
+            times.sort_unstable();
+            let peak = runs.iter().map(|s| s.peak_set_ups).max().unwrap_or(0);
+            let broken: Vec<&String> = runs.iter().flat_map(|s| &s.broken).collect();
+            println!(
+                "{nodes} nodes, {part} killed, {name}: median {:?} worst {:?} of {}, least {:.1} s, peak {peak} \
+                 set-ups a second of {:.1} borne, broken {broken:?}",
+                times[times.len() / 2],
+                times[times.len() - 1],
+                times.len(),
+                part * figures.terminals as f64 * 0.95 / figures.ledger,
+                figures.ledger,
+            );
+        }
+    }
+}
+
 mod the_books {
     //! Each check is shown to fail: the fault is put in, and the books must say so.
 
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -234,6 +234,13 @@
         summary
     }
 
+    /// The same for a measurement: what is broken is counted there, not here.
+    pub fn measured(self) -> Summary {
+        let summary = self.world.books.borrow_mut().close(&self.world.figures);
+        self.nodes.end();
+        summary
+    }
+
     fn fail(&mut self, what: &str) -> ! {
         self.nodes.end();
         let lines = self.world.books.borrow().lines();
