--- a/src/balance.rs
+++ b/src/balance.rs
@@ -4,7 +4,7 @@
 //! Full Jitter sleep and is placed again: the best of a few random servers by this relay's own open
 //! connections. Everything else here says which servers may be drawn, and how often.
 
-use crate::fleet::{Fleet, COLD_GROUPS};
+use crate::fleet::Fleet;
 use crate::interface::*;
 use crate::random::{below, mix, unit, Rng};
 use crate::returns::{backoff, Returns};
@@ -428,8 +428,8 @@
             // A cold server gets the part of our placements that it bears, however few others are free
             // and however much or little we hold there: a request that falls to it goes to it.
             let cold = warmth < 1.0;
-            // It takes few groups, and those so much more often: each costs what it hardly bears yet.
-            let lean = f64::from(unit(mix(request.draw ^ s.tag)) < COLD_GROUPS) / COLD_GROUPS;
+            // It is twice as likely, or never, as the draw has it: so groups gather at cold servers too.
+            let lean = 2.0 * unit(mix(request.draw ^ s.tag));
             let weight = if cold { lean * s.nominal } else { all };
             if unit(mix(mix(request.roll ^ s.tag) ^ self.salt)) >= self.bears(s, warmth) * weight {
                 continue;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -12,9 +12,6 @@
 const LEAST: f64 = 4.0;
 /// What fills all servers, over what the shares allow them to hold: shares grant less than a fleet bears.
 const FILLS: f64 = 2.0;
-/// The part of all groups that a cold region takes: each costs it several connections, so it takes fewer groups
-/// and more of each. Not too few: at an eighth the largest group alone pushed one over (herd+mass 81203).
-pub const COLD_GROUPS: f64 = 0.35;
 /// No gap is longer than this hour: settings come from outside, and a gap is doubled by those who use it.
 const LONGEST: Nanos = 3_600_000_000_000;
 /// What a server usually holds of one relay's where the settings don't tell.
