Watch the agent where lists are pushed, and call a lost discovery again within 2.5 s

The module called for the list only where settings say ask (balance.rs, ask_later), so on sockets no watch was ever opened where they say push: in the simulator pushed lists come unasked, on the platform they wait at the machine's agent. Ruled out: the watch's parser (the agent's log has no call at all). Change: settings tell how lists come (unasked, agent, asked); the next call is due within 2.5 s (0.2 s at the agent), src/asking.rs; a repeat has to be out before its window ends however late its connection comes up.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -4,6 +4,7 @@
 //! Full Jitter sleep and is placed again: the best of a few random servers by this relay's own open
 //! connections. Everything else here says which servers may be drawn, and how often.
 
+use crate::asking;
 use crate::fleet::Fleet;
 use crate::interface::*;
 use crate::random::{below, mix, unit, Rng};
@@ -299,7 +300,10 @@
         let class = &self.settings.classes[request.class];
         match (class.effect, request.may_have_run) {
             (Effect::ReadLike, _) | (_, None) => true,
-            (Effect::IdempotencyKey, Some((_, sent))) => self.now.saturating_sub(sent) < class.window,
+            // Its line may go out as late as its connection may come up, and still has to be inside.
+            (Effect::IdempotencyKey, Some((_, sent))) => {
+                self.now.saturating_sub(sent).saturating_add(self.settings.dial_timeout) < class.window
+            }
             (Effect::NonIdempotent, Some(_)) => false,
         }
     }
@@ -644,13 +648,10 @@
     }
 
     fn ask_later(&mut self, out: Out) {
-        if self.settings.ask_discovery {
-            self.list_timer += 1;
-            let base = self.settings.ask_within / 16;
-            let limit = backoff(base, self.settings.ask_within, self.list_calls);
-            self.list_calls += 1;
-            out.push(Action::Timer { after: below(self.rng.next_u64(), limit), token: self.list_timer });
-        }
+        let Some(limit) = asking::again_within(&self.settings, self.list_calls) else { return };
+        self.list_timer += 1;
+        self.list_calls += 1;
+        out.push(Action::Timer { after: below(self.rng.next_u64(), limit), token: self.list_timer });
     }
 }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,7 +1,7 @@
 //! What a node is told at its start: `NODE_CONFIG` and the variables beside it.
 
 use crate::front::{Files, ReadFiles, OPTIONAL};
-use crate::interface::{Nanos, Settings};
+use crate::interface::{Discovery, Nanos, Settings};
 use crate::service_table::List;
 use crate::wire;
 use serde::Deserialize;
@@ -157,7 +157,13 @@
         let file: File = wire::parse(text)?;
         crate::log::trace(format_args!("trace settings {}", file.settings.get()));
         let in_settings = |e: String| e.replacen("field ", "field settings.", 1);
-        let settings = wire::settings_from(file.settings.get()).map_err(in_settings)?;
+        let mut settings = wire::settings_from(file.settings.get()).map_err(in_settings)?;
+        let facts: Facts = wire::parse(file.settings.get()).map_err(in_settings)?;
+        settings.dial_timeout = facts.limits.dial_timeout_ns;
+        // On sockets nothing comes unasked: what is pushed waits at the machine's agent until a watch asks for it.
+        if settings.discovery == Discovery::Unasked {
+            settings.discovery = Discovery::Agent;
+        }
         settings.check().map_err(|e| format!("field settings.{}: {}", e.field, e.problem))?;
         let seed = if file.seed.is_empty() {
             0
@@ -174,7 +180,7 @@
             sockets: file.limits.sockets,
             known: file.known,
             settings,
-            facts: wire::parse(file.settings.get()).map_err(in_settings)?,
+            facts,
         })
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -37,6 +37,18 @@
     Cell,
 }
 
+/// How the list of servers comes, and what a call for it costs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Discovery {
+    /// Changes come unasked.
+    #[default]
+    Unasked,
+    /// An agent on this machine has what is pushed to it, and answers calls at once and at no cost.
+    Agent,
+    /// One service for all relays, which works through their calls one at a time.
+    Asked,
+}
+
 /// A request class.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
@@ -65,8 +77,8 @@
     pub zone: u32,
     /// The request classes.
     pub classes: Vec<Class>,
-    /// The list of servers comes only when asked for.
-    pub ask_discovery: bool,
+    /// How the list of servers comes.
+    pub discovery: Discovery,
     /// Worth counts by work rather than by request.
     pub worth_by_work: bool,
     /// Tries allowed for one request.
@@ -75,8 +87,10 @@
     pub may_cancel: bool,
     /// The longest advice to stay away that clients honour; zero where none is passed on.
     pub max_retry_after: Nanos,
-    /// In `ask` discovery: an instance that has not asked for this long is deemed told.
+    /// Where discovery is asked: an instance that has not asked for this long is deemed told.
     pub ask_within: Nanos,
+    /// A connection that is not up after this has failed: an attempt's line goes out no later.
+    pub dial_timeout: Nanos,
     /// A cold server begins at this fraction of its capacity.
     pub cold_from: f64,
     /// A cold server is warm after this time.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,12 +21,13 @@
 //!     instances: 1,
 //!     zone: 0,
 //!     classes: vec![class],
-//!     ask_discovery: false,
+//!     discovery: Discovery::Unasked,
 //!     worth_by_work: false,
 //!     max_attempts: 3,
 //!     may_cancel: true,
 //!     max_retry_after: 0,
 //!     ask_within: 10 * SECOND,
+//!     dial_timeout: SECOND / 4,
 //!     cold_from: 0.3,
 //!     cold_time: 10 * SECOND,
 //!     fall_multiple: 3.0,
@@ -63,6 +64,7 @@
 //! ```
 #![forbid(unsafe_code)]
 
+mod asking;
 pub mod balance;
 mod budgets;
 pub mod cli;
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -255,6 +255,8 @@
     #[serde(default)]
     max_retry_after_ns: u64,
     #[serde(default)]
+    dial_timeout_ns: u64,
+    #[serde(default)]
     probes: bool,
 }
 
@@ -340,12 +342,13 @@
         classes: classes.collect(),
         instances: wire.instances,
         zone: wire.zone,
-        ask_discovery: wire.discovery == "ask",
+        discovery: if wire.discovery == "ask" { Discovery::Asked } else { Discovery::Unasked },
         worth_by_work: wire.worth_by == "work",
         max_attempts: wire.limits.max_attempts,
         may_cancel: wire.limits.may_cancel,
         max_retry_after: if wire.limits.retry_after { wire.limits.max_retry_after_ns } else { 0 },
         ask_within: wire.rules.ask_within_ns,
+        dial_timeout: wire.limits.dial_timeout_ns,
         cold_from: wire.rules.cold_from,
         cold_time: wire.rules.cold_ns,
         fall_multiple: wire.rules.fall_multiple,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -412,7 +412,7 @@
 #[test]
 fn the_log_speaks_only_when_the_state_changes() {
     let said = |actions: &[Action]| actions.iter().filter(|a| matches!(a, Action::Log(_))).count();
-    let ask = Settings { ask_discovery: true, ..settings() };
+    let ask = Settings { discovery: Discovery::Asked, ..settings() };
     let mut relay = Relay::new(1, ask, serving(20));
     relay.tell(Event::Members(ListKind::Incremental, vec![]));
     let lost = |relay: &mut Relay| said(&relay.tell(Event::Members(ListKind::Failed, vec![])));
@@ -478,9 +478,59 @@
 
 // ---- Discovery ------------------------------------------------------------------------------------
 
+/// However many calls have failed and whatever the settings allow after that, the next one is due soon enough that a
+/// change is known 6 s after discovery could be reached: 2 s for a call that is given up, the sleep, an answer.
+#[test]
+fn the_next_call_for_the_list_is_due_within_what_counts_as_told() {
+    let cases = [
+        (Discovery::Asked, 60 * S, 2_500 * MS),
+        (Discovery::Asked, S, S),
+        (Discovery::Agent, 60 * S, 200 * MS),
+    ];
+    for (discovery, ask_within, most) in cases {
+        let asks = Settings { discovery, ask_within, ..settings() };
+        for seed in 0..50 {
+            let mut relay = Relay::new(seed, asks.clone(), serving(3));
+            for failed in 0..20 {
+                let actions = relay.tell(Event::Members(ListKind::Failed, vec![]));
+                let (after, token) = timer(&actions).expect("it asks again");
+                assert!(after <= most, "{discovery:?}: {after} ns after {failed} failures");
+                relay.now += after;
+                assert_eq!(relay.tell(Event::Timer(token)), [Action::Subscribe]);
+            }
+        }
+    }
+    let mut relay = Relay::new(1, settings(), serving(3));
+    let actions = relay.tell(Event::Members(ListKind::Failed, vec![]));
+    assert!(timer(&actions).is_none(), "unasked lists are not asked for");
+}
+
+/// A keyed request's line goes out once its connection is up: a second copy whose connection may come up after the
+/// window must not begin inside it.
+#[test]
+fn a_second_copy_is_out_before_its_window_ends_however_late_its_connection() {
+    let slow = Settings { dial_timeout: 250 * MS, ..settings() };
+    let mut latest = 0;
+    for seed in 0..400 {
+        let mut relay = Relay::new(seed, slow.clone(), serving(8));
+        let first = tried(&relay.request(1, 1)).expect("placed");
+        let sent = relay.now;
+        relay.now += 400 * MS;
+        let mut actions = relay.end(1, first, Outcome::Reset);
+        while let Some((after, token)) = timer(&actions) {
+            relay.now += after;
+            actions = relay.tell(Event::Timer(token));
+        }
+        if tried(&actions).is_some() {
+            latest = latest.max(relay.now + 250 * MS - sent);
+        }
+    }
+    assert!((700 * MS..800 * MS).contains(&latest), "the last copy may go out {latest} ns after the first");
+}
+
 #[test]
 fn relays_ask_for_the_list_at_different_times_and_again_after_a_failure() {
-    let ask = Settings { ask_discovery: true, ..settings() };
+    let ask = Settings { discovery: Discovery::Asked, ..settings() };
     let mut first = Vec::new();
     for seed in 0..50 {
         let mut relay = Relay::new(seed, ask.clone(), serving(3));
