Hear what has come before a timer that a signal woke; force shutdown and attempt crossings

Cause, found by the test: a signal ends epoll's wait early, Net::poll then gave no notices, and timers that were due ran before what lay in the sockets was read: an answer that had come in time was thrown away by its attempt's time-out (BUSY 550 for an UP that was there). Ruled out: the order of notices and timers in a turn, which is right.

--- a/src/front/text.rs
+++ b/src/front/text.rs
@@ -574,10 +574,10 @@
             return;
         }
         if notice.kind == Kind::Overdue {
-            return match self.sides.get(&token) {
-                Some(Side::Fresh(_)) => self.end_resting(ctx, token),
-                _ => {}
-            };
+            if let Some(Side::Fresh(_)) = self.sides.get(&token) {
+                self.end_resting(ctx, token);
+            }
+            return;
         }
         let broken = match notice.kind {
             Kind::Broken(remains) => Some(remains.all_written),
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -632,12 +632,16 @@
         }
         let wait = if self.pending.is_empty() { wait } else { 0 };
         let wait = if self.resting.is_some() { wait.min(ACCEPT_REST) } else { wait };
-        let timeout =
+        let mut timeout =
             Timespec { tv_sec: (wait / 1_000_000_000) as i64, tv_nsec: (wait % 1_000_000_000) as i64 };
         let mut events: Vec<epoll::Event> = Vec::with_capacity(256);
-        match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut events), Some(&timeout)) {
-            Ok(_) | Err(Errno::INTR) => {}
-            Err(error) => return Err(error.into()),
+        loop {
+            match epoll::wait(&self.epoll, rustix::buffer::spare_capacity(&mut events), Some(&timeout)) {
+                Ok(_) => break,
+                // Timers are looked at after this: what had come before one of them is to be heard first.
+                Err(Errno::INTR) => timeout = Timespec { tv_sec: 0, tv_nsec: 0 },
+                Err(error) => return Err(error.into()),
+            }
         }
         for event in events {
             self.ready(Token(event.data.u64()), event.flags);
--- /dev/null
+++ b/tests/crossings_shutdown.rs
@@ -0,0 +1,162 @@
+//! Crossings of a shutdown, forced over loopback: each request that was taken gets one final answer, and the node
+//! ends by itself, in time. Where an instant matters the node is stopped while things happen.
+
+mod peers;
+
+use peers::*;
+use rstest::rstest;
+use std::time::{Duration, Instant};
+
+/// SIGKILL comes 0.7 s after the longest deadline, 1.2 s here.
+const KILLED_AFTER: Duration = Duration::from_millis(1_900);
+
+/// The node ends by itself before it would be killed; gives its last counters.
+fn ends(mut bench: Bench, told: Instant) -> String {
+    let counters = bench.logged("counters");
+    assert!(bench.child.wait().expect("it ends").success(), "exit 0");
+    assert!(told.elapsed() < KILLED_AFTER, "{:?} after SIGTERM", told.elapsed());
+    counters
+}
+
+fn answers(client: &mut Peer) -> Vec<String> {
+    client.rest().lines().map(str::to_string).collect()
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Crossing {
+    /// Its first line is half read.
+    HalfALine,
+    /// Its whole line is in the kernel's buffer, unread.
+    Unread,
+    /// Its connection is in the accept queue.
+    Queued,
+}
+
+/// A request that crosses SIGTERM is served, and moved before the end.
+#[rstest]
+fn a_request_that_crosses_sigterm_gets_its_answer(
+    #[values(Crossing::HalfALine, Crossing::Unread, Crossing::Queued)] crossing: Crossing,
+) {
+    let bench = Bench::start(1);
+    let line = format!("{}\r\n", open(1));
+    let mut early = Peer::connect(bench.addr);
+    if let Crossing::HalfALine = crossing {
+        early.say(&line[..9]);
+        // It has been read: a later one's question is answered.
+        assert_eq!(bench.terminal("PING").line(), "PONG");
+    }
+    bench.freeze();
+    let mut client = match crossing {
+        Crossing::HalfALine => early,
+        Crossing::Unread => {
+            early.say(&line);
+            early
+        }
+        Crossing::Queued => Peer::connect(bench.addr),
+    };
+    bench.signal("-TERM");
+    let told = Instant::now();
+    bench.thaw();
+    match crossing {
+        Crossing::HalfALine => drop(client.say(&line[9..])),
+        Crossing::Unread => {}
+        Crossing::Queued => drop(client.say(&line)),
+    }
+    let mut attempt = Peer::accept(&bench.regions[0]);
+    attempt.line();
+    attempt.say("UP r1\r\n");
+    assert_eq!(answers(&mut client), ["UP r1", "MOVE"]);
+    drop((client, attempt));
+    let counters = ends(bench, told);
+    assert_eq!(["taken", "served", "moved"].map(|name| value(&counters, name)), [1, 1, 1]);
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Server {
+    /// `UP` comes just after SIGTERM.
+    Answers,
+    /// Nothing ever comes.
+    Hangs,
+    /// It turns every attempt away: a retry sleeps.
+    TurnsAway,
+}
+
+#[rstest]
+fn an_attempt_that_is_out_at_sigterm_ends_in_one_answer(
+    #[values(Server::Answers, Server::Hangs, Server::TurnsAway)] server: Server,
+    #[values(1, 2)] terms: u32,
+) {
+    let bench = Bench::start(2);
+    let mut client = bench.terminal(&open(1));
+    let (_, mut attempt) = accept_any(&bench.regions);
+    attempt.line();
+    if let Server::TurnsAway = server {
+        attempt.say("BUSY\r\n");
+    }
+    (0..terms).for_each(|_| bench.signal("-TERM"));
+    let told = Instant::now();
+    if let Server::Answers = server {
+        attempt.say("UP r1\r\n");
+    }
+    let regions: Vec<_> = bench.regions.iter().map(|l| l.try_clone().expect("a second handle")).collect();
+    if let Server::TurnsAway = server {
+        std::thread::spawn(move || loop {
+            let (_, mut attempt) = accept_any(&regions);
+            attempt.line();
+            attempt.say("BUSY\r\n");
+        });
+    }
+    let heard = answers(&mut client);
+    match server {
+        Server::Answers => assert_eq!(heard, ["UP r1", "MOVE"]),
+        _ => assert!(heard.len() == 1 && (heard[0].starts_with("BUSY") || heard[0] == "ERR"), "{heard:?}"),
+    }
+    drop((client, attempt));
+    let counters = ends(bench, told);
+    let sum: u64 = ["served", "refused", "failed"].iter().map(|name| value(&counters, name)).sum();
+    assert_eq!((value(&counters, "taken"), sum), (1, 1));
+}
+
+/// The configuration is read again just before the end, or would be just after: neither keeps the node, nor what
+/// stands from being moved.
+#[rstest]
+fn sighup_beside_sigterm_changes_nothing(#[values(true, false)] before: bool) {
+    let mut bench = Bench::start(1);
+    let (mut client, attempt) = standing(&bench, 1);
+    bench.freeze();
+    if before {
+        bench.signal("-HUP");
+    }
+    bench.signal("-TERM");
+    if !before {
+        bench.signal("-HUP");
+    }
+    let told = Instant::now();
+    bench.thaw();
+    bench.logged("leaving");
+    assert_eq!(answers(&mut client), ["MOVE"]);
+    drop((client, attempt));
+    ends(bench, told);
+}
+
+/// Connections that rest are ended before the process is, with an answer to whatever arrives then; what is read from
+/// then on is not sent on.
+#[rstest]
+fn resting_connections_are_ended_before_the_process_is() {
+    let bench = Bench::start(1);
+    let mut resting: Vec<Peer> = (0..20).map(|_| Peer::connect(bench.addr)).collect();
+    assert_eq!(bench.terminal("PING").line(), "PONG");
+    bench.signal("-TERM");
+    let told = Instant::now();
+    for (number, client) in resting.iter_mut().enumerate() {
+        assert_eq!(client.line(), "BUSY");
+        client.say(&open(number as u64)).say("\r\n");
+    }
+    resting.iter_mut().for_each(Peer::ends);
+    drop(resting);
+    let regions: Vec<_> = bench.regions.iter().map(|l| l.try_clone().expect("a second handle")).collect();
+    let counters = ends(bench, told);
+    regions[0].set_nonblocking(true).expect("non-blocking");
+    assert!(regions[0].accept().is_err(), "it was sent on");
+    assert_eq!(value(&counters, "silent"), 20);
+}
