--- a/src/balance.rs
+++ b/src/balance.rs
@@ -603,11 +603,11 @@
         bears * self.unpicked()
     }
 
-    /// How long this relay has picked nobody, but no longer than about half the time in which a server falls over: a
-    /// crowd that comes to all relays at once brings a cold one what it bears in that, beside what it bears meanwhile.
+    /// How long this relay has picked nobody, but no longer than about the time in which a server falls over:
+    /// a cold server may have what it bears in that time, however many requests come after one another.
     fn unpicked(&self) -> f64 {
         let most = self.settings.tip_after.max(2 * self.fleet.gap(self.requests.len(), Some(1.0))).max(1);
-        self.now.saturating_sub(self.picked_at).min(most / 2) as f64
+        self.now.saturating_sub(self.picked_at).min(most) as f64
     }
 
     // ---- Discovery -----------------------------------------------------------------------------
