Show that a slow client's session hangs, and that an exit drops queued requests

A client that stalls in a server's burst got 100,129 of 400,001 lines and never the end: SocketEventKind::OutputFlushed of the client leads to on_client_input alone, and the server's socket is not read while its buffer is full. A request in the accept queue of a drained node that gets SIGTERM is reset: should_exit asks for open requests, not for connections.

--- /dev/null
+++ b/tests/forwarding_races.rs
@@ -0,0 +1,34 @@
+//! Races of forwarding with backpressure: what waits because one side was slow goes on as soon as it is not.
+
+mod support;
+
+use std::io::Write;
+use std::time::Duration;
+use support::{established_client, Bench};
+
+/// More than the node and the kernel buffer between a server and a client that does not read.
+const BURST_LINES: usize = 400_000;
+/// A line of the burst, its end included.
+const BURST_LINE: &[u8; 40] = b"M 0123456789abcdef0123456789abcdef0123\r\n";
+/// The client does not read for this long, in which the burst fills all buffers.
+const CLIENT_STALL: Duration = Duration::from_millis(800);
+
+/// The client stops reading in a burst that ends with `BYE` and the server's end. Once it reads again it gets every
+/// line and the end, although the server sends nothing more that would wake the node.
+#[test]
+fn a_client_that_stalls_in_a_burst_gets_all_lines_and_the_end() {
+    let bench = Bench::start(1);
+    let (mut client, attempt) = established_client(&bench, 1);
+    let mut sender = attempt.stream.try_clone().expect("a second handle");
+    drop(attempt);
+    let sending = std::thread::spawn(move || {
+        let burst = BURST_LINE.repeat(BURST_LINES);
+        sender.write_all(&burst).expect("the node reads all of it");
+        sender.write_all(b"BYE\r\n").expect("the node reads the last line");
+    });
+    std::thread::sleep(CLIENT_STALL);
+    let received = client.read_to_end();
+    assert_eq!(received.lines().count(), BURST_LINES + 1);
+    assert_eq!(received.lines().last(), Some("BYE"));
+    sending.join().expect("all is sent");
+}
--- a/tests/shutdown_races.rs
+++ b/tests/shutdown_races.rs
@@ -5,10 +5,12 @@
 
 use rstest::rstest;
 use std::time::{Duration, Instant};
-use support::{accept_any, counter_value, established_client, open_line, Bench, Peer};
+use support::{accept_any, counter_value, established_client, listener, open_line, Bench, Peer};
 
 /// SIGKILL follows 0.7 s after the longest deadline, which is 1.2 s here.
 const SIGKILL_AFTER: Duration = Duration::from_millis(1_900);
+/// An operator's drain is over after this.
+const OPERATORS_DRAIN: Duration = Duration::from_millis(4_000);
 
 /// The node exits by itself before SIGKILL. Its last counters are the result.
 fn expect_exit(mut bench: Bench, sigterm_at: Instant) -> String {
@@ -139,6 +141,31 @@
     expect_exit(bench, sigterm_at);
 }
 
+/// An operator has drained the node, and its drain is over: SIGTERM ends the process at once. A request that arrives in
+/// that instant, on a new connection or on one that rests, gets its final answer.
+#[rstest]
+fn a_request_arriving_as_a_drained_node_exits_is_answered(#[values(true, false)] is_connected: bool) {
+    let mut bench = Bench::with_args(vec![listener()], None, &[], |text| {
+        text.replace(r#""listen":"#, r#""operator":"127.0.0.1:0","listen":"#)
+    });
+    let line = bench.wait_for_log("operator");
+    let admin = line.split("listen=").nth(1).and_then(|address| address.parse().ok()).expect("an address");
+    let mut caller = Peer::connect(admin);
+    caller.send("POST /-/drain HTTP/1.1\r\nHost: node\r\n\r\n").read_to_end();
+    std::thread::sleep(OPERATORS_DRAIN);
+    let resting = is_connected.then(|| Peer::connect(bench.addr));
+    assert_eq!(bench.connect_client("PING").read_line(), "BUSY", "it is drained");
+    bench.pause();
+    bench.signal("-TERM");
+    let mut client = resting.unwrap_or_else(|| Peer::connect(bench.addr));
+    client.send(&open_line(1)).send("\r\n");
+    bench.resume();
+    let answer = client.read_line();
+    assert!(answer == "BUSY" || answer == "ERR", "{answer:?}");
+    drop(client);
+    assert!(bench.process.child.wait().expect("it ends").success(), "exit 0");
+}
+
 /// Idle connections are answered and closed before the process exits; what they send from then on is not forwarded.
 #[rstest]
 fn idle_connections_are_closed_before_the_process_exits() {
