Resume a slow client's lines once it reads, and settle what waits before the exit

Cause: handle_server_lines stops at the client's output watermark, and only an event of the server's socket went on from there; with a full input buffer, or the server's end read already, there is none. A client's readiness resumes it now. should_exit saw open requests alone: connections without one, or still in the accept queue, were reset with the exit, and exit_by ended whatever was established without MOVE. settle_before_exit accepts, answers and migrates what is left.

--- a/src/front/text/mod.rs
+++ b/src/front/text/mod.rs
@@ -98,7 +98,10 @@
             // A client that breaks its connection off waits for no answer, whatever it had sent.
             Some(ConnectionRole::AwaitingRequest { .. }) if failed => self.close_connection(ctx, token),
             Some(ConnectionRole::AwaitingRequest { .. }) => self.on_request_input(ctx, token),
-            Some(ConnectionRole::Client) => self.on_client_input(ctx, token, failed),
+            Some(ConnectionRole::Client) => {
+                self.on_client_input(ctx, token, failed);
+                self.resume_server_lines(ctx, token);
+            }
             Some(ConnectionRole::Server { client }) => self.on_server_event(ctx, *client, token, event),
             Some(ConnectionRole::HealthCheck) => self.on_health_check_input(ctx, token, failed),
         }
@@ -108,7 +111,10 @@
 
 impl Front for TextFront {
     fn is_idle(&self) -> bool {
-        self.sessions.is_empty()
+        let is_client = |role: &ConnectionRole| {
+            matches!(role, ConnectionRole::AwaitingRequest { .. } | ConnectionRole::Client)
+        };
+        !self.connections.values().any(is_client)
     }
 
     fn on_socket_event(&mut self, ctx: &mut FrontContext, event: SocketEvent) {
--- a/src/front/text/server_side.rs
+++ b/src/front/text/server_side.rs
@@ -40,6 +40,24 @@
         }
     }
 
+    /// A client may have read what it was sent: its server's lines, and the server's end behind them, go on where they
+    /// had stopped for it.
+    pub(super) fn resume_server_lines(&mut self, ctx: &mut FrontContext, client: Token) {
+        let established = self.sessions.get(&client).and_then(|session| session.established());
+        let Some(server_connection) = established.map(|established| established.server_connection) else {
+            return;
+        };
+        let has_input = ctx.net.input_buffer(server_connection).is_some_and(|input| !input.is_empty());
+        let has_failed = ctx.net.is_failed(server_connection);
+        if !has_input && !has_failed && !ctx.net.is_read_closed(server_connection) {
+            return;
+        }
+        let event =
+            if has_failed { ConnectionEvent::Failed { all_written: true } } else { ConnectionEvent::Ready };
+        self.on_server_event(ctx, client, server_connection, event);
+        ctx.net.update_interest(server_connection);
+    }
+
     /// Handles all complete lines of a server. Breaks where the client is too slow to take more, or where the
     /// attempt has ended over a line.
     fn handle_server_lines(
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -127,6 +127,31 @@
         }
     }
 
+    /// Accepts all connections that wait at the fronts' listeners, so that a process that ends leaves none of them
+    /// unanswered. Yields whether there were any; they are among the next events.
+    pub fn accept_waiting(&mut self) -> bool {
+        if !self.fronts_accept {
+            return false;
+        }
+        let is_front_listener = |socket: &Socket| {
+            socket.state == SocketState::Listening && matches!(socket.owner, SocketOwner::Front(_))
+        };
+        let sockets = self.sockets.iter_mut();
+        let listeners: Vec<Token> =
+            sockets.filter(|(_, socket)| is_front_listener(socket)).map(|(token, _)| token).collect();
+        let events_before = self.pending_events.len();
+        for listener in listeners {
+            for _ in 0..LISTEN_BACKLOG as usize / ACCEPTS_PER_TURN {
+                let accepted_before = self.pending_events.len();
+                self.accept_ready(listener);
+                if self.pending_events.len() == accepted_before {
+                    break;
+                }
+            }
+        }
+        self.pending_events.len() > events_before
+    }
+
     /// Accepts the connections that wait at a listener, up to the limit of a turn.
     pub(super) fn accept_ready(&mut self, listener: Token) {
         let Some(uses_reserve) = self.sockets.get(listener).map(|socket| socket.uses_reserve) else { return };
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -94,6 +94,11 @@
         Ok(events)
     }
 
+    /// What has happened since the last poll without a wait of its own.
+    pub fn take_pending_events(&mut self) -> Vec<SocketEvent> {
+        std::mem::take(&mut self.pending_events)
+    }
+
     fn uses_reserve(&self, token: Token) -> bool {
         self.sockets.get(token).is_some_and(|socket| socket.uses_reserve)
     }
--- a/src/node/draining.rs
+++ b/src/node/draining.rs
@@ -3,7 +3,7 @@
 use super::Node;
 use crate::front::TimerEvent;
 use crate::lifecycle;
-use crate::vocabulary::Outcome;
+use crate::vocabulary::{Nanos, Outcome, RequestId};
 
 impl Node {
     /// From now on there are drain steps, until clients are accepted again.
@@ -14,6 +14,34 @@
         }
     }
 
+    /// The process is about to end. Connections that still wait to be accepted get their answer, requests without one
+    /// fail, and what is established is migrated: nothing is cut off by the exit.
+    pub(super) fn settle_before_exit(&mut self) {
+        self.state.net.accept_waiting();
+        for event in self.state.net.take_pending_events() {
+            self.on_socket_event(event);
+        }
+        self.for_each_front(|front, ctx| {
+            ctx.shutting_down = true;
+            front.on_drain_step(ctx);
+        });
+        let now = self.state.now();
+        for command in self.state.requests.fail_unanswered(now, Nanos::MAX) {
+            self.execute(now, command);
+        }
+        for request_id in self.state.requests.established() {
+            self.migrate_established(now, request_id);
+        }
+        self.run_balancer();
+    }
+
+    fn migrate_established(&mut self, now: Nanos, request_id: RequestId) {
+        let closed = self.state.requests.close_for_migration(now, request_id, Outcome::Cancelled);
+        if let Some(front) = closed {
+            self.with_front(front, |front, ctx| front.migrate(ctx, request_id));
+        }
+    }
+
     /// Migrates as many established connections as it takes for all to be migrated in time, and answers requests that
     /// have waited too long.
     pub(super) fn drain_step(&mut self) {
@@ -31,10 +59,7 @@
             }
         }
         for request_id in established.into_iter().take(step.migrations) {
-            let closed = self.state.requests.close_for_migration(now, request_id, Outcome::Cancelled);
-            if let Some(front) = closed {
-                self.with_front(front, |front, ctx| front.migrate(ctx, request_id));
-            }
+            self.migrate_established(now, request_id);
         }
         self.state.wheel.schedule(now + lifecycle::MIGRATION_STEP_INTERVAL, TimerEvent::DrainStep);
     }
--- a/src/node/event_loop.rs
+++ b/src/node/event_loop.rs
@@ -26,6 +26,10 @@
             self.transfer_connections();
             self.state.net.flush_connected();
             self.print_trace();
+            if self.should_exit() {
+                self.settle_before_exit();
+            }
+            // What was settled may still have to be read by its peer.
             if self.should_exit() {
                 self.export_flows(self.state.now());
                 self.print_counters();
@@ -35,7 +39,7 @@
         }
     }
 
-    fn on_socket_event(&mut self, event: SocketEvent) {
+    pub(super) fn on_socket_event(&mut self, event: SocketEvent) {
         match event.owner {
             SocketOwner::Front(id) => {
                 self.with_front(id, |front, ctx| front.on_socket_event(ctx, event));
