Show that a signal during the start-up kills the process

The configuration is a FIFO, so the process is held up in reading it: SIGHUP, SIGUSR1 and SIGTERM each end it by the signal (signals 1, 10 and 15), since handlers come after prepare().

--- /dev/null
+++ b/tests/startup_races.rs
@@ -0,0 +1,42 @@
+//! Races of the start-up: signals that arrive before the node serves.
+
+mod support;
+
+use rstest::rstest;
+use rustix::fs::{mknodat, FileType, Mode, CWD};
+use std::io::Write;
+use std::io::{BufRead, BufReader};
+use support::{config, listener, node_command, temp_file};
+
+/// A signal arrives while the process reads its configuration: SIGHUP and SIGUSR1 do not end it, and SIGTERM lets it end
+/// in order. The configuration is a FIFO, which holds the process up until the test has sent the signal.
+#[rstest]
+#[case::reload("-HUP", "reloaded")]
+#[case::counters("-USR1", "counters")]
+#[case::shutdown("-TERM", "stopped")]
+fn a_signal_during_start_up_does_not_kill_the_process(#[case] signal: &str, #[case] event: &str) {
+    let discovery = listener();
+    let text = config(discovery.local_addr().expect("an address"), "", 256);
+    let path = temp_file("node.json", "");
+    std::fs::remove_file(&path).expect("it was there");
+    mknodat(CWD, &path, FileType::Fifo, Mode::RUSR | Mode::WUSR, 0).expect("a FIFO");
+    let mut child = node_command(&["serve"], &path).spawn().expect("the node starts");
+    // This waits until the process has opened the FIFO to read.
+    let mut fifo = std::fs::OpenOptions::new().write(true).open(&path).expect("the process reads it");
+    std::fs::remove_file(&path).expect("the FIFO");
+    std::fs::write(&path, &text).expect("what a reload reads");
+    let pid = child.id().to_string();
+    let sent = std::process::Command::new("kill").args([signal, &pid]).status();
+    assert!(sent.expect("kill runs").success());
+    fifo.write_all(text.as_bytes()).expect("the process still reads");
+    drop(fifo);
+    let log = BufReader::new(child.stderr.take().expect("its log"));
+    let wanted = format!("sparbank {event}");
+    let found = log.lines().map_while(Result::ok).any(|line| line.starts_with(&wanted));
+    if event != "stopped" {
+        child.kill().expect("it still runs");
+    }
+    let status = child.wait().expect("it ends");
+    std::fs::remove_file(&path).expect("the file");
+    assert!(found, "no log line {event}: {status}");
+}
