Install the signal handlers before the configuration is read

Cause: SignalSockets::register ran in PreparedNode::start, after prepare() had read the configuration, the quota file and the passed listener. Until then SIGHUP, SIGUSR1 and SIGTERM kill the process; a fleet-wide SIGHUP met by a restart is a crash. Change: SignalPipes::install comes first; what arrives waits in its pipe and is handled in the first turn.

--- a/src/node/signals.rs
+++ b/src/node/signals.rs
@@ -9,31 +9,54 @@
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
 
-/// The sockets that become readable when a signal arrives.
-pub(super) struct SignalSockets {
-    shutdown: Token,
-    print_counters: Token,
-    reload: Token,
+/// The handlers of all signals, and the sockets that get a byte whenever one arrives. They are installed before
+/// anything is read, since until then each of these signals kills the process; what arrives waits in its socket.
+pub(super) struct SignalPipes {
+    shutdown: OwnedFd,
+    print_counters: OwnedFd,
+    reload: OwnedFd,
 }
 
-impl SignalSockets {
+impl SignalPipes {
     /// Installs the signal handlers.
-    pub(super) fn register(net: &mut SocketReactor) -> io::Result<SignalSockets> {
-        Ok(SignalSockets {
-            shutdown: register(net, &[SIGTERM, SIGINT])?,
-            print_counters: register(net, &[SIGUSR1])?,
-            reload: register(net, &[SIGHUP])?,
+    ///
+    /// # Errors
+    /// Where the system gives no sockets, or no handlers.
+    pub(super) fn install() -> io::Result<SignalPipes> {
+        Ok(SignalPipes {
+            shutdown: install(&[SIGTERM, SIGINT])?,
+            print_counters: install(&[SIGUSR1])?,
+            reload: install(&[SIGHUP])?,
         })
     }
 }
 
-/// Registers a socket that gets a byte whenever one of the signals arrives.
-fn register(net: &mut SocketReactor, signals: &[i32]) -> io::Result<Token> {
+/// Has a socket get a byte whenever one of the signals arrives.
+fn install(signals: &[i32]) -> io::Result<OwnedFd> {
     let (reader, writer) = UnixStream::pair()?;
     for signal in signals {
         signal_hook::low_level::pipe::register(*signal, writer.try_clone()?)?;
     }
-    net.register_reader(OwnedFd::from(reader), SocketOwner::Signal)
+    Ok(OwnedFd::from(reader))
+}
+
+/// The sockets that become readable when a signal arrives.
+pub(super) struct SignalSockets {
+    shutdown: Token,
+    print_counters: Token,
+    reload: Token,
+}
+
+impl SignalSockets {
+    /// Watches the signals' sockets.
+    pub(super) fn register(net: &mut SocketReactor, pipes: SignalPipes) -> io::Result<SignalSockets> {
+        let mut register = |pipe| net.register_reader(pipe, SocketOwner::Signal);
+        Ok(SignalSockets {
+            shutdown: register(pipes.shutdown)?,
+            print_counters: register(pipes.print_counters)?,
+            reload: register(pipes.reload)?,
+        })
+    }
 }
 
 impl Node {
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -2,7 +2,7 @@
 
 use super::clock::Clock;
 use super::configuration::Configuration;
-use super::signals::SignalSockets;
+use super::signals::{SignalPipes, SignalSockets};
 use super::{Node, NodeState, Options, PrepareError, ServeError};
 use crate::admin::AdminServer;
 use crate::config::Config;
@@ -18,12 +18,15 @@
 use crate::quota::{self, QuotaAdmission, QuotaMembership};
 use crate::requests::RequestTable;
 use crate::vocabulary::Nanos;
+use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 use std::path::Path;
 
 /// A node whose configuration has been read and checked, and which has opened nothing yet.
 pub struct PreparedNode {
+    /// The signals' handlers, or why there are none.
+    signals: io::Result<SignalPipes>,
     configuration: Configuration,
     front_files: FrontFiles,
     flow_collector: Option<SocketAddr>,
@@ -35,6 +38,7 @@
 impl PreparedNode {
     /// Reads and checks all that is configured: it is valid, or nothing starts.
     pub fn prepare(options: Options) -> Result<PreparedNode, PrepareError> {
+        let signals = SignalPipes::install();
         let configuration = Configuration::read(&options.front_files)?;
         let quota_membership = match &options.quota_file {
             Some(file) => {
@@ -45,6 +49,7 @@
         };
         let passed_listener = handover::passed_listener()?;
         Ok(PreparedNode {
+            signals,
             configuration,
             front_files: options.front_files,
             flow_collector: options.flow_collector,
@@ -63,7 +68,8 @@
     fn start(self) -> Result<Node, ServeError> {
         let Configuration { node: config, fronts: front_configs } = self.configuration;
         let mut net = SocketReactor::new(config.max_descriptors).map_err(ServeError::Poll)?;
-        let signals = SignalSockets::register(&mut net).map_err(ServeError::Signals)?;
+        let signals = self.signals.and_then(|pipes| SignalSockets::register(&mut net, pipes));
+        let signals = signals.map_err(ServeError::Signals)?;
         let mut startup = Startup::new(config, net)?;
         let admin = startup.open_admin()?;
         // What can fail without the predecessor's sockets is open: its state may be requested now.
