Give the reactor's system calls one place, where unit tests have them fail

Not a preloaded library (rustix makes its calls itself) and not a tracer (not on every machine). No behaviour changes.

--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -3,13 +3,14 @@
 use super::event::{SocketEvent, SocketEventKind, SocketOwner};
 use super::listener::{BoundListener, ListeningSocket};
 use super::poller::Interest;
-use super::reactor::{stream_socket, SocketDeadline, SocketReactor};
+use super::reactor::{SocketDeadline, SocketReactor};
 use super::slab::Token;
 use super::socket::{Socket, SocketState};
+use super::system;
 use crate::front_id::FrontId;
 use crate::vocabulary::Nanos;
 use rustix::io::Errno;
-use rustix::net::{sockopt, SocketFlags};
+use rustix::net::sockopt;
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
@@ -51,7 +52,7 @@
             let ListeningSocket { addr, fd } = self.inherited_listeners.remove(index);
             return Ok(BoundListener { token: self.insert(fd, owner, SocketState::Listening)?, addr });
         }
-        let fd = stream_socket(addr)?;
+        let fd = system::stream_socket(addr)?;
         sockopt::set_socket_reuseaddr(&fd, true)?;
         rustix::net::bind(&fd, &addr)?;
         rustix::net::listen(&fd, LISTEN_BACKLOG)?;
@@ -159,7 +160,7 @@
         for _ in 0..max_accepts {
             let Some(socket) = self.sockets.get(listener) else { return };
             let owner = socket.owner;
-            match rustix::net::accept_with(&socket.fd, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC) {
+            match system::accept(&socket.fd) {
                 Ok(fd) => self.add_accepted(fd, listener, owner, uses_reserve),
                 Err(Errno::AGAIN) => return,
                 Err(Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM) => {
--- a/src/net/buffered_io.rs
+++ b/src/net/buffered_io.rs
@@ -4,8 +4,9 @@
 use super::reactor::{SocketDeadline, SocketReactor};
 use super::slab::Token;
 use super::socket::{Socket, SocketState, WriteState};
+use super::system::{read, write};
 use crate::vocabulary::Nanos;
-use rustix::io::{read, write, Errno};
+use rustix::io::Errno;
 use rustix::net::{sockopt, Shutdown};
 use std::time::Duration;
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,6 +13,7 @@
 //! | `buffered_io` | reading, writing and closing |
 //! | `listener`, `accept` | listeners and accept backpressure |
 //! | `reserve`, `descriptors` | the descriptor reserve, the limit and eviction |
+//! | `system` | the system calls on sockets, which unit tests have fail |
 //! | `transfer` | connections handed to another process |
 //! | `timer_wheel` | timers |
 
@@ -26,6 +27,7 @@
 mod reserve;
 mod slab;
 mod socket;
+mod system;
 mod timer_wheel;
 mod transfer;
 
--- a/src/net/poller.rs
+++ b/src/net/poller.rs
@@ -1,6 +1,7 @@
 //! The epoll instance that watches every socket, level-triggered.
 
 use super::slab::Token;
+use super::system;
 use crate::vocabulary::Nanos;
 use rustix::event::{epoll, Timespec};
 use rustix::io::Errno;
@@ -32,13 +33,13 @@
 
     /// Starts to watch a descriptor.
     pub(super) fn add(&self, fd: &OwnedFd, token: Token, interest: Interest) -> Result<(), Errno> {
-        epoll::add(&self.epoll, fd, epoll::EventData::new_u64(token.as_raw()), interest)
+        system::epoll_add(&self.epoll, fd, token, interest)
     }
 
     /// Changes what a watched descriptor is watched for.
     pub(super) fn modify(&self, fd: &OwnedFd, token: Token, interest: Interest) {
         // The descriptor was added, so this cannot fail but for want of memory.
-        let _ = epoll::modify(&self.epoll, fd, epoll::EventData::new_u64(token.as_raw()), interest);
+        let _ = system::epoll_modify(&self.epoll, fd, token, interest);
     }
 
     /// Stops watching a descriptor that stays open. Closing the last descriptor of a socket does the same.
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -6,9 +6,10 @@
 use super::reserve::DescriptorReserve;
 use super::slab::{Slab, Token};
 use super::socket::{Socket, SocketState};
+use super::system;
 use crate::vocabulary::Nanos;
 use rustix::io::Errno;
-use rustix::net::{sockopt, AddressFamily, SocketFlags, SocketType};
+use rustix::net::sockopt;
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
@@ -183,14 +184,14 @@
     /// Where there is no descriptor, or the system refuses at once.
     pub fn connect(&mut self, addr: SocketAddr, owner: SocketOwner) -> io::Result<Token> {
         let fd = loop {
-            match stream_socket(addr) {
+            match system::stream_socket(addr) {
                 // The system gives fewer descriptors than the configuration says.
                 Err(Errno::MFILE | Errno::NFILE) if self.evict() => {}
                 created => break created?,
             }
         };
         sockopt::set_tcp_nodelay(&fd, true)?;
-        match rustix::net::connect(&fd, &addr) {
+        match system::connect(&fd, addr) {
             Ok(()) | Err(Errno::INPROGRESS) => {}
             Err(error) => return Err(error.into()),
         }
@@ -332,10 +333,3 @@
         self.sockets.len()
     }
 }
-
-/// A non-blocking TCP socket for an address of this family.
-pub(super) fn stream_socket(addr: SocketAddr) -> Result<OwnedFd, Errno> {
-    let family = if addr.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
-    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-    rustix::net::socket_with(family, SocketType::STREAM, flags, None)
-}
--- /dev/null
+++ b/src/net/system/tests.rs
@@ -0,0 +1,89 @@
+//! The reactor where system calls fail for a moment, as Linux documents it.
+
+use super::faults::{all_happened, fail};
+use super::SystemCall;
+use crate::net::{SocketEventKind, SocketOwner, SocketReactor, Token};
+use rstest::rstest;
+use rustix::io::Errno;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// Descriptors that the reactor may have.
+const DESCRIPTORS: usize = 64;
+/// One turn waits at most this long, in nanoseconds.
+const TURN: u64 = 20_000_000;
+/// A test that has taken this many turns waits for what will not come.
+const MAX_TURNS: u64 = 100;
+const IO_TIMEOUT: Duration = Duration::from_secs(5);
+
+fn reactor_with_listener() -> (SocketReactor, SocketAddr) {
+    let mut net = SocketReactor::new(DESCRIPTORS).expect("epoll");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let addr = net.listen(any, SocketOwner::Admin).expect("a port");
+    (net, addr)
+}
+
+/// Turns the reactor until an event of this kind; yields its socket.
+fn wait_for(net: &mut SocketReactor, wanted: impl Fn(SocketEventKind) -> bool) -> Token {
+    for turn in 0..MAX_TURNS {
+        let events = net.poll(turn * TURN, TURN).expect("a turn");
+        net.flush_connected();
+        if let Some(event) = events.iter().find(|event| wanted(event.kind)) {
+            return event.token;
+        }
+    }
+    panic!("no such event; all planned faults happened: {}", all_happened())
+}
+
+fn accepted_client(net: &mut SocketReactor, addr: SocketAddr) -> (TcpStream, Token) {
+    let client = TcpStream::connect(addr).expect("it listens");
+    client.set_read_timeout(Some(IO_TIMEOUT)).expect("a time-out");
+    let token = wait_for(net, |kind| kind == SocketEventKind::Accepted);
+    (client, token)
+}
+
+#[rstest]
+#[case(Errno::NOMEM)]
+#[case(Errno::NOSPC)]
+fn an_accepted_connection_that_cannot_be_watched_at_once_is_read_later(#[case] error: Errno) {
+    let (mut net, addr) = reactor_with_listener();
+    fail(SystemCall::EpollAdd, error, 3);
+    let (mut client, accepted) = accepted_client(&mut net, addr);
+    client.write_all(b"OPEN\r\n").expect("written");
+    let readable = wait_for(&mut net, |kind| kind == SocketEventKind::Readable);
+    assert_eq!(readable, accepted);
+    assert_eq!(net.input_buffer(readable).map(std::mem::take), Some(b"OPEN\r\n".to_vec()));
+    assert!(all_happened());
+}
+
+/// Reading goes on after the owner has taken a full buffer, although the change of interest fails once.
+#[test]
+fn a_change_of_interest_that_fails_is_repeated() {
+    let (mut net, addr) = reactor_with_listener();
+    let (mut client, token) = accepted_client(&mut net, addr);
+    net.set_read_limit(token, 4);
+    client.write_all(b"12345678").expect("written");
+    wait_for(&mut net, |kind| kind == SocketEventKind::Readable);
+    fail(SystemCall::EpollModify, Errno::NOMEM, 1);
+    assert_eq!(net.input_buffer(token).map(std::mem::take), Some(b"1234".to_vec()));
+    net.update_interest(token);
+    wait_for(&mut net, |kind| kind == SocketEventKind::Readable);
+    assert_eq!(net.input_buffer(token).map(std::mem::take), Some(b"5678".to_vec()));
+    assert!(all_happened());
+}
+
+#[rstest]
+#[case(Errno::CONNABORTED)]
+#[case(Errno::INTR)]
+#[case(Errno::PROTO)]
+#[case(Errno::PERM)]
+#[case(Errno::NFILE)]
+#[case(Errno::NOBUFS)]
+#[case(Errno::NOMEM)]
+fn accepting_goes_on_after_a_failed_accept(#[case] error: Errno) {
+    let (mut net, addr) = reactor_with_listener();
+    fail(SystemCall::Accept, error, 20);
+    accepted_client(&mut net, addr);
+    assert!(all_happened());
+}
