Try refused changes of the epoll set again instead of dropping or forgetting them

Cause: SocketReactor::insert gave the descriptor up where epoll_ctl failed, so an accepted connection was closed unread (a lost request on a new connection), and Poller::modify ignored errors, so a connection could stay unread for good.

--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -234,10 +234,11 @@
 
     fn watch_listeners(&mut self, interest: Interest) {
         let listening = |(_, socket): &(Token, &mut Socket)| socket.state == SocketState::Listening;
-        for (token, socket) in self.sockets.iter_mut().filter(listening) {
-            let suspended = !self.fronts_accept && matches!(socket.owner, SocketOwner::Front(_));
-            socket.interest = if suspended { Interest::empty() } else { interest };
-            self.poller.modify(&socket.fd, token, socket.interest);
+        let listeners: Vec<(Token, SocketOwner)> =
+            self.sockets.iter_mut().filter(listening).map(|(token, socket)| (token, socket.owner)).collect();
+        for (token, owner) in listeners {
+            let suspended = !self.fronts_accept && matches!(owner, SocketOwner::Front(_));
+            self.change_interest(token, if suspended { Interest::empty() } else { interest });
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,6 +15,7 @@
 //! | `reserve`, `descriptors` | the descriptor reserve, the limit and eviction |
 //! | `system` | the system calls on sockets, which unit tests have fail |
 //! | `transfer` | connections handed to another process |
+//! | `watch_retry` | changes of the epoll set that the system refuses for a moment |
 //! | `timer_wheel` | timers |
 
 mod accept;
@@ -30,6 +31,7 @@
 mod system;
 mod timer_wheel;
 mod transfer;
+mod watch_retry;
 
 pub use event::{SocketEvent, SocketEventKind, SocketOwner};
 pub use listener::ListeningSocket;
--- a/src/net/poller.rs
+++ b/src/net/poller.rs
@@ -37,9 +37,8 @@
     }
 
     /// Changes what a watched descriptor is watched for.
-    pub(super) fn modify(&self, fd: &OwnedFd, token: Token, interest: Interest) {
-        // The descriptor was added, so this cannot fail but for want of memory.
-        let _ = system::epoll_modify(&self.epoll, fd, token, interest);
+    pub(super) fn modify(&self, fd: &OwnedFd, token: Token, interest: Interest) -> Result<(), Errno> {
+        system::epoll_modify(&self.epoll, fd, token, interest)
     }
 
     /// Stops watching a descriptor that stays open. Closing the last descriptor of a socket does the same.
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -7,6 +7,7 @@
 use super::slab::{Slab, Token};
 use super::socket::{Socket, SocketState};
 use super::system;
+use super::watch_retry::{is_watch_shortage, WatchState};
 use crate::vocabulary::Nanos;
 use rustix::io::Errno;
 use rustix::net::sockopt;
@@ -42,6 +43,8 @@
     /// Listening sockets of the process before this one that nobody listens on yet.
     pub(super) inherited_listeners: Vec<ListeningSocket>,
     pub(super) pending_events: Vec<SocketEvent>,
+    /// Sockets whose last change of the epoll set the system has refused.
+    pub(super) refused_watches: Vec<Token>,
     /// Connections established since the last [`SocketReactor::flush_connected`].
     pub(super) connected: Vec<Token>,
     /// The time of the last poll.
@@ -66,6 +69,7 @@
             fronts_accept: true,
             inherited_listeners: Vec::new(),
             pending_events: Vec::new(),
+            refused_watches: Vec::new(),
             connected: Vec::new(),
             now: 0,
             read_chunk: vec![0; READ_CHUNK_BYTES],
@@ -84,8 +88,10 @@
         self.end_expired_lingering();
         self.report_handshake_timeouts();
         self.resume_accepting_if_rested();
+        self.retry_refused_watches();
         let timeout = if self.pending_events.is_empty() { timeout } else { 0 };
-        for readiness in self.poller.wait(self.limit_by_accept_pause(timeout))? {
+        let timeout = self.limit_by_refused_watches(self.limit_by_accept_pause(timeout));
+        for readiness in self.poller.wait(timeout)? {
             self.handle_readiness(readiness);
         }
         let mut events = std::mem::take(&mut self.pending_events);
@@ -224,11 +230,21 @@
         state: SocketState,
     ) -> io::Result<Token> {
         let poller = &self.poller;
+        let mut is_refused = false;
         let token = self.sockets.insert_with(|token| {
-            let socket = Socket::new(fd, owner, state);
-            poller.add(&socket.fd, token, socket.interest)?;
+            let mut socket = Socket::new(fd, owner, state);
+            match poller.add(&socket.fd, token, socket.interest) {
+                Err(error) if is_watch_shortage(error) => {
+                    socket.watch = WatchState::AddRefused;
+                    is_refused = true;
+                }
+                added => added?,
+            }
             Ok::<_, Errno>(socket)
         })?;
+        if is_refused {
+            self.refused_watches.push(token);
+        }
         Ok(token)
     }
 
@@ -242,8 +258,7 @@
         }
         let interest = socket.wanted_interest();
         if interest != socket.interest {
-            socket.interest = interest;
-            self.poller.modify(&socket.fd, token, interest);
+            self.change_interest(token, interest);
         }
     }
 
@@ -253,8 +268,7 @@
         let writable = if wanted { Interest::OUT } else { Interest::empty() };
         let interest = Interest::IN | writable;
         if socket.state == SocketState::Raw && socket.interest != interest {
-            socket.interest = interest;
-            self.poller.modify(&socket.fd, token, interest);
+            self.change_interest(token, interest);
         }
     }
 
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -3,6 +3,7 @@
 use super::event::SocketOwner;
 use super::poller::Interest;
 use super::slab::Token;
+use super::watch_retry::WatchState;
 use std::os::fd::OwnedFd;
 
 /// Input buffered ahead of the owner, unless the owner sets another limit
@@ -56,6 +57,8 @@
     pub(super) bytes_written: u64,
     /// What epoll watches it for.
     pub(super) interest: Interest,
+    /// Whether epoll knows of it.
+    pub(super) watch: WatchState,
     /// It was accepted and its owner has not reported a complete handshake yet.
     pub(super) awaiting_handshake: bool,
     /// Input buffered ahead of the owner.
@@ -80,6 +83,7 @@
             output: Vec::new(),
             bytes_written: 0,
             interest,
+            watch: WatchState::Current,
             awaiting_handshake: false,
             read_limit_bytes: DEFAULT_READ_LIMIT_BYTES,
             listener: None,
