--- a/src/net/system/tests.rs
+++ b/src/net/system/tests.rs
@@ -5,7 +5,7 @@
 use crate::net::{SocketEventKind, SocketOwner, SocketReactor, Token};
 use rstest::rstest;
 use rustix::io::Errno;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -73,6 +73,52 @@
     assert!(all_happened());
 }
 
+/// The last answer before a close is written once there are buffers again.
+#[rstest]
+fn an_answer_is_written_once_the_system_has_buffers(
+    #[values(Errno::NOBUFS, Errno::NOMEM, Errno::INTR, Errno::AGAIN)] error: Errno,
+) {
+    for times in [1, 4] {
+        write_an_answer_that_fails(error, times);
+    }
+}
+
+fn write_an_answer_that_fails(error: Errno, times: usize) {
+    let (mut net, addr) = reactor_with_listener();
+    let (mut client, token) = accepted_client(&mut net, addr);
+    fail(SystemCall::Write, error, times);
+    net.send(token, b"BUSY\r\n");
+    net.close(token);
+    let reading = std::thread::spawn(move || {
+        let mut answer = String::new();
+        client.read_to_string(&mut answer).expect("an orderly end");
+        answer
+    });
+    for turn in 0..MAX_TURNS {
+        net.poll(turn, TURN).expect("a turn");
+        if reading.is_finished() {
+            break;
+        }
+    }
+    assert_eq!(reading.join().expect("it reads"), "BUSY\r\n");
+    assert!(all_happened());
+}
+
+/// What a peer sent before its reset is read, although the read is interrupted.
+#[test]
+fn an_interrupted_read_loses_no_answer_before_a_reset() {
+    let (mut net, addr) = reactor_with_listener();
+    let (mut client, token) = accepted_client(&mut net, addr);
+    // The first read of the turn meets the reset, the second takes what came before it.
+    client.write_all(b"BUSY\r\n").expect("written");
+    rustix::net::sockopt::set_socket_linger(&client, Some(Duration::ZERO)).expect("linger");
+    drop(client);
+    fail(SystemCall::Read, Errno::CONNRESET, 1);
+    fail(SystemCall::Read, Errno::INTR, 1);
+    wait_for(&mut net, |kind| matches!(kind, SocketEventKind::Failed { .. }));
+    assert_eq!(net.input_buffer(token).map(std::mem::take), Some(b"BUSY\r\n".to_vec()));
+}
+
 #[rstest]
 #[case(Errno::CONNABORTED)]
 #[case(Errno::INTR)]
