Let a connection rest where the kernel has no memory, and repeat an interrupted read

Cause: send, write_output and read_into_buffer took ENOBUFS and ENOMEM for the end of the connection, so a final answer that met one was lost; fail() read once and took EINTR for nothing to read.

--- a/src/net/buffered_io.rs
+++ b/src/net/buffered_io.rs
@@ -5,6 +5,7 @@
 use super::slab::Token;
 use super::socket::{Socket, SocketState, WriteState};
 use super::system::{read, write};
+use super::transfer_pause::is_transfer_shortage;
 use crate::vocabulary::Nanos;
 use rustix::io::Errno;
 use rustix::net::{sockopt, Shutdown};
@@ -61,6 +62,7 @@
                 self.emit(token, SocketEventKind::Readable);
             }
             Err(Errno::AGAIN | Errno::INTR) => {}
+            Err(error) if is_transfer_shortage(error) => self.pause_transfer(token),
             Err(_) => self.fail(token),
         }
     }
@@ -82,7 +84,7 @@
         if socket.write_state != WriteState::Open || socket.state == SocketState::Failed {
             return;
         }
-        let mut failed = false;
+        let mut failure = None;
         // While no output waits, the bytes are written without a copy.
         while !bytes.is_empty() && socket.output.is_empty() && socket.state == SocketState::Open {
             match write(&socket.fd, bytes) {
@@ -92,16 +94,17 @@
                 }
                 Err(Errno::INTR) => {}
                 Err(error) => {
-                    failed = error != Errno::AGAIN;
+                    failure = Some(error);
                     break;
                 }
             }
         }
         socket.output.extend_from_slice(bytes);
-        if failed {
-            return self.fail(token);
+        match failure {
+            None | Some(Errno::AGAIN) => self.update_interest(token),
+            Some(error) if is_transfer_shortage(error) => self.pause_transfer(token),
+            Some(_) => self.fail(token),
         }
-        self.update_interest(token);
     }
 
     /// Writes what waits on the connections that were established in this turn. It comes after all else of the
@@ -142,6 +145,10 @@
                 }
                 Err(Errno::AGAIN) => return false,
                 Err(Errno::INTR) => {}
+                Err(error) if is_transfer_shortage(error) => {
+                    self.pause_transfer(token);
+                    return false;
+                }
                 Err(_) => {
                     self.fail(token);
                     return false;
@@ -227,9 +234,13 @@
         }
         let all_written = socket.state != SocketState::Connecting && socket.output.is_empty();
         let capacity = socket.read_limit_bytes.min(self.read_chunk.len());
-        if let Ok(count) = read(&socket.fd, &mut self.read_chunk[..capacity]) {
-            socket.input.extend_from_slice(&self.read_chunk[..count]);
-        }
+        let read_count = loop {
+            match read(&socket.fd, &mut self.read_chunk[..capacity]) {
+                Err(Errno::INTR) => {}
+                result => break result.unwrap_or(0),
+            }
+        };
+        socket.input.extend_from_slice(&self.read_chunk[..read_count]);
         socket.state = SocketState::Failed;
         self.poller.delete(&socket.fd);
         self.emit(token, SocketEventKind::Failed { all_written });
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,6 +15,7 @@
 //! | `reserve`, `descriptors` | the descriptor reserve, the limit and eviction |
 //! | `system` | the system calls on sockets, which unit tests have fail |
 //! | `transfer` | connections handed to another process |
+//! | `transfer_pause` | reads and writes that find no kernel memory for a moment |
 //! | `watch_retry` | changes of the epoll set that the system refuses for a moment |
 //! | `timer_wheel` | timers |
 
@@ -31,6 +32,7 @@
 mod system;
 mod timer_wheel;
 mod transfer;
+mod transfer_pause;
 mod watch_retry;
 
 pub use event::{SocketEvent, SocketEventKind, SocketOwner};
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -45,6 +45,8 @@
     pub(super) pending_events: Vec<SocketEvent>,
     /// Sockets whose last change of the epoll set the system has refused.
     pub(super) refused_watches: Vec<Token>,
+    /// Connections that rest for want of kernel memory, by the end of the pause.
+    pub(super) paused_transfers: VecDeque<SocketDeadline>,
     /// Connections established since the last [`SocketReactor::flush_connected`].
     pub(super) connected: Vec<Token>,
     /// The time of the last poll.
@@ -70,6 +72,7 @@
             inherited_listeners: Vec::new(),
             pending_events: Vec::new(),
             refused_watches: Vec::new(),
+            paused_transfers: VecDeque::new(),
             connected: Vec::new(),
             now: 0,
             read_chunk: vec![0; READ_CHUNK_BYTES],
@@ -88,9 +91,11 @@
         self.end_expired_lingering();
         self.report_handshake_timeouts();
         self.resume_accepting_if_rested();
+        self.resume_paused_transfers();
         self.retry_refused_watches();
         let timeout = if self.pending_events.is_empty() { timeout } else { 0 };
-        let timeout = self.limit_by_refused_watches(self.limit_by_accept_pause(timeout));
+        let timeout = self.limit_by_accept_pause(timeout);
+        let timeout = self.limit_by_paused_transfers(self.limit_by_refused_watches(timeout));
         for readiness in self.poller.wait(timeout)? {
             self.handle_readiness(readiness);
         }
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -57,6 +57,8 @@
     pub(super) bytes_written: u64,
     /// What epoll watches it for.
     pub(super) interest: Interest,
+    /// It is neither read nor written for a moment, for want of kernel memory.
+    pub(super) is_paused: bool,
     /// Whether epoll knows of it.
     pub(super) watch: WatchState,
     /// It was accepted and its owner has not reported a complete handshake yet.
@@ -83,6 +85,7 @@
             output: Vec::new(),
             bytes_written: 0,
             interest,
+            is_paused: false,
             watch: WatchState::Current,
             awaiting_handshake: false,
             read_limit_bytes: DEFAULT_READ_LIMIT_BYTES,
@@ -98,6 +101,9 @@
 
     /// What epoll is to watch a buffered socket for.
     pub(super) fn wanted_interest(&self) -> Interest {
+        if self.is_paused {
+            return Interest::empty();
+        }
         let connecting = self.state == SocketState::Connecting;
         let has_read_capacity = self.input.len() < self.read_limit_bytes || self.is_lingering();
         let mut interest = Interest::empty();
--- a/src/net/system/tests.rs
+++ b/src/net/system/tests.rs
@@ -95,7 +95,7 @@
         answer
     });
     for turn in 0..MAX_TURNS {
-        net.poll(turn, TURN).expect("a turn");
+        net.poll(turn * TURN, TURN).expect("a turn");
         if reading.is_finished() {
             break;
         }
