--- a/src/net/system/tests.rs
+++ b/src/net/system/tests.rs
@@ -133,3 +133,17 @@
     accepted_client(&mut net, addr);
     assert!(all_happened());
 }
+
+/// A shortage of the whole system is no reason to evict a client of this node.
+#[rstest]
+#[case(Errno::NFILE)]
+#[case(Errno::NOBUFS)]
+#[case(Errno::NOMEM)]
+fn a_shortage_of_the_system_evicts_nobody(#[case] error: Errno) {
+    let (mut net, addr) = reactor_with_listener();
+    let (mut idle, token) = accepted_client(&mut net, addr);
+    fail(SystemCall::Accept, error, 2);
+    accepted_client(&mut net, addr);
+    idle.write_all(b"PING\r\n").expect("written");
+    assert_eq!(wait_for(&mut net, |kind| kind == SocketEventKind::Readable), token);
+}
