Show that a shortage on this machine is held against servers and discovery

With no descriptors for 2 s a request's only server is never tried again (no connection within 20 s), and discovery counts 6 failures for one lost watch; EINTR of connect ends the attempt.

--- a/src/net/system/tests.rs
+++ b/src/net/system/tests.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use rustix::io::Errno;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
 /// Descriptors that the reactor may have.
@@ -147,3 +147,21 @@
     idle.write_all(b"PING\r\n").expect("written");
     assert_eq!(wait_for(&mut net, |kind| kind == SocketEventKind::Readable), token);
 }
+
+#[test]
+fn an_interrupted_connect_goes_on() {
+    let mut net = SocketReactor::new(DESCRIPTORS).expect("epoll");
+    let server = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = server.local_addr().expect("an address");
+    fail(SystemCall::Connect, Errno::INTR, 1);
+    let token = net.connect(addr, SocketOwner::Discovery).expect("it has begun");
+    net.send(token, b"GET\r\n");
+    let (mut peer, _) = server.accept().expect("it connects");
+    for turn in 0..4 {
+        net.poll(turn, TURN).expect("a turn");
+        net.flush_connected();
+    }
+    let mut received = [0; 5];
+    peer.read_exact(&mut received).expect("the line");
+    assert_eq!(&received, b"GET\r\n");
+}
--- a/tests/text_overload.rs
+++ b/tests/text_overload.rs
@@ -7,7 +7,8 @@
 use std::io::Write;
 use std::time::{Duration, Instant};
 use support::{
-    accept_any, counter_value, counter_values, establish, established_client, open_line, Bench, Peer,
+    accept_any, counter_value, counter_values, establish, established_client, listener, open_line, Bench,
+    Peer,
 };
 
 /// The limit on descriptors above which a test does not go.
@@ -15,6 +16,9 @@
 /// A client without a complete line is answered and closed within this.
 const IDLE_CLOSE_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// How long the process gets no descriptors: long enough for many attempts and polls.
+const LOCAL_SHORTAGE: Duration = Duration::from_millis(2_000);
+
 /// Changes how many descriptors the system gives the node.
 fn limit_descriptors(bench: &Bench, descriptors: u64) {
     let limit = Rlimit { current: Some(descriptors), maximum: Some(MAX_DESCRIPTORS) };
@@ -87,3 +91,36 @@
     let (_, mut attempt) = accept_any(&bench.servers);
     establish(&mut client, &mut attempt);
 }
+
+/// While the process gets no descriptor, no connection to a server can be opened. That says nothing of the server: the
+/// request waits, uses up none of its attempts, and is served once there are descriptors.
+#[test]
+fn a_shortage_of_descriptors_is_not_held_against_the_server() {
+    let mut bench = Bench::with_args(vec![listener()], None, &["--trace"], |text| {
+        text.replace(r#""HardLimitNs":1200000000"#, r#""HardLimitNs":9000000000"#)
+    });
+    let mut client = bench.connect_client("PING");
+    assert_eq!(client.read_line(), "PONG");
+    limit_descriptors(&bench, 4);
+    client.send(&open_line(0x9b1f).replace("d=1200", "d=9000")).send("\r\n");
+    bench.wait_for_log("trace client arrived");
+    std::thread::sleep(LOCAL_SHORTAGE);
+    limit_descriptors(&bench, 64);
+    let (_, mut attempt) = accept_any(&bench.servers);
+    establish(&mut client, &mut attempt);
+}
+
+/// The watch cannot be opened again while the process gets no descriptor: discovery has not failed, so nothing backs off.
+#[test]
+fn a_shortage_of_descriptors_is_not_held_against_discovery() {
+    let mut bench = Bench::start(1);
+    let watch = bench.accept_watch();
+    assert_eq!(bench.counter("discovery_failures"), 0);
+    limit_descriptors(&bench, 4);
+    drop(watch);
+    bench.wait_for_log("list-lost");
+    std::thread::sleep(LOCAL_SHORTAGE);
+    assert_eq!(bench.counter("discovery_failures"), 1, "the lost watch alone");
+    limit_descriptors(&bench, 64);
+    bench.accept_watch();
+}
