Tell a shortage on this machine from a server's failure, and repeat what it stopped

Cause: any error of socket() or connect() was ConnectFailed: the server was ejected for up to 30 s, the attempt used up and the server not tried again by its request; for the watch it was a failed poll with its backoff. EINTR of connect ended an attempt that goes on in the kernel. Change: ConnectError says whose fault it is. EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EADDRINUSE and EAGAIN are Outcome::LocalShortage: no attempt, no ejection, the same server again after the backoff. ENETUNREACH and ENETDOWN are NotSent: no ejection, another server. The watch is requested again each tick. Both fronts; two counters.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -40,6 +40,10 @@
     pub attempt_reset: u64,
     /// Attempts that were cancelled.
     pub attempt_cancelled: u64,
+    /// Attempts of which nothing was sent: there was no route, or the request might not be sent any more.
+    pub attempt_not_sent: u64,
+    /// Attempts that this machine had no descriptor, port or memory for. They count as none for their request.
+    pub attempt_local_shortage: u64,
     /// First lines or deliveries that could not be parsed.
     pub malformed: u64,
     /// Connections closed before their first line (or AMQP open), at a time-out or to free a descriptor.
@@ -80,19 +84,21 @@
     /// Counts how an attempt ended before it was established.
     pub fn count_attempt(&mut self, outcome: Outcome) {
         let counter = match outcome {
-            Outcome::Ok | Outcome::NotSent => return,
+            Outcome::Ok => return,
             Outcome::Error => &mut self.attempt_error,
             Outcome::Rejected => &mut self.attempt_rejected,
             Outcome::Timeout => &mut self.attempt_timeout,
             Outcome::ConnectFailed => &mut self.attempt_connect_failed,
             Outcome::Reset => &mut self.attempt_reset,
             Outcome::Cancelled => &mut self.attempt_cancelled,
+            Outcome::NotSent => &mut self.attempt_not_sent,
+            Outcome::LocalShortage => &mut self.attempt_local_shortage,
         };
         *counter += 1;
     }
 
     /// Every counter with its name, in the order of the log line.
-    fn entries(&self) -> [(&'static str, u64); 34] {
+    fn entries(&self) -> [(&'static str, u64); 36] {
         [
             ("requests", self.requests),
             ("resumed", self.resumed),
@@ -111,6 +117,8 @@
             ("attempt_connect_failed", self.attempt_connect_failed),
             ("attempt_reset", self.attempt_reset),
             ("attempt_cancelled", self.attempt_cancelled),
+            ("attempt_not_sent", self.attempt_not_sent),
+            ("attempt_local_shortage", self.attempt_local_shortage),
             ("malformed", self.malformed),
             ("idle_closed", self.idle_closed),
             ("capacity_rejected", self.capacity_rejected),
--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -4,7 +4,7 @@
 use super::document::EndpointListDocument;
 use super::registry::EndpointRegistry;
 use super::watch::{Received, WatchError, WatchState};
-use crate::net::{BufferedConnection, ExportedConnection, SocketOwner, SocketReactor, Token};
+use crate::net::{BufferedConnection, ConnectError, ExportedConnection, SocketOwner, SocketReactor, Token};
 use crate::vocabulary::{Event, ListKind, Nanos};
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
@@ -28,6 +28,8 @@
 pub struct DiscoveryClient {
     address: SocketAddr,
     watch: Option<Watch>,
+    /// No watch could be requested for want of a socket on this machine, which is no failure of the service.
+    awaits_socket: bool,
     /// Watch requests sent so far.
     pub watch_requests: u64,
 }
@@ -35,7 +37,7 @@
 impl DiscoveryClient {
     /// A client of the service at this address, without a watch.
     pub fn new(address: SocketAddr) -> DiscoveryClient {
-        DiscoveryClient { address, watch: None, watch_requests: 0 }
+        DiscoveryClient { address, watch: None, awaits_socket: false, watch_requests: 0 }
     }
 
     /// Whether a watch is open or requested.
@@ -43,8 +45,13 @@
         self.watch.is_some()
     }
 
+    /// Whether a watch is to be requested as soon as this machine has a socket for it.
+    pub fn awaits_socket(&self) -> bool {
+        self.awaits_socket
+    }
+
     /// Requests the changes since the registry's generation, unless there is a watch already. The result is a failure
-    /// event where no connection can be opened.
+    /// event where the service refuses the connection.
     pub fn subscribe(
         &mut self,
         now: Nanos,
@@ -54,8 +61,18 @@
         if self.watch.is_some() {
             return None;
         }
-        let Ok(token) = net.connect(self.address, SocketOwner::Discovery) else {
-            return Some(watch_failed());
+        let connecting = net.connect(self.address, SocketOwner::Discovery);
+        let waited = std::mem::take(&mut self.awaits_socket);
+        let token = match connecting {
+            Ok(token) => token,
+            Err(ConnectError::Failed(_)) => return Some(watch_failed()),
+            Err(error @ (ConnectError::Shortage(_) | ConnectError::Unroutable(_))) => {
+                self.awaits_socket = true;
+                if !waited {
+                    crate::log::line(format_args!("list-waits reason={error}"));
+                }
+                return None;
+            }
         };
         let generation = registry.generation();
         let host = self.address;
--- a/src/front/amqp/outcomes.rs
+++ b/src/front/amqp/outcomes.rs
@@ -16,8 +16,8 @@
         for result in results {
             match result {
                 AttemptResult::Ended(request_id, outcome) => self.on_attempt_ended(ctx, request_id, outcome),
-                AttemptResult::ForwarderNotAttached(forwarder) => {
-                    self.on_forwarder_attempt_failed(ctx, forwarder, Outcome::ConnectFailed)
+                AttemptResult::ForwarderNotAttached(forwarder, outcome) => {
+                    self.on_forwarder_attempt_failed(ctx, forwarder, outcome)
                 }
             }
         }
--- a/src/front/amqp/server_links.rs
+++ b/src/front/amqp/server_links.rs
@@ -6,7 +6,7 @@
 use super::servers::{AttemptResult, SendingLink, ServerLink, Servers};
 use crate::front::FrontContext;
 use crate::net::Token;
-use crate::vocabulary::{RequestId, ServerId};
+use crate::vocabulary::{Outcome, RequestId, ServerId};
 use sparbank_amqp::{Attach, LinkId, Role, Source, Target, Terminus};
 
 /// Where a link could be attached.
@@ -15,8 +15,8 @@
     Attached(Token, LinkId),
     /// A connection or session that may take it is being opened.
     Pending,
-    /// No connection or session can take it.
-    Unavailable,
+    /// No connection or session can take it; the outcome of the attempts that need it.
+    Unavailable(Outcome),
 }
 
 impl Servers {
@@ -48,10 +48,13 @@
                 return Placement::Pending;
             }
         }
-        if connections.len() < config.max_server_connections && self.dial(ctx, config, server) {
-            return Placement::Pending;
+        if connections.len() >= config.max_server_connections {
+            return Placement::Unavailable(Outcome::ConnectFailed);
+        }
+        match self.dial(ctx, config, server) {
+            Ok(()) => Placement::Pending,
+            Err(outcome) => Placement::Unavailable(outcome),
         }
-        Placement::Unavailable
     }
 
     /// The connections to a server, in the order in which they were opened.
@@ -76,22 +79,24 @@
                 continue;
             }
             let is_first = queue.links.is_empty();
-            if !self.add_sending_link(ctx, config, server_id, class) && is_first {
-                if let Some(server) = self.by_id.get_mut(&server_id) {
-                    results.extend(server.classes[class].fail_waiting());
-                }
+            let Err(outcome) = self.add_sending_link(ctx, config, server_id, class) else { continue };
+            if let Some(server) = self.by_id.get_mut(&server_id).filter(|_| is_first) {
+                results.extend(server.classes[class].fail_waiting(outcome));
             }
         }
     }
 
-    /// Attaches a sending link for a class. False where no connection or session can take it.
+    /// Attaches a sending link for a class.
+    ///
+    /// # Errors
+    /// The outcome of the attempts that wait, where no connection or session can take it.
     fn add_sending_link(
         &mut self,
         ctx: &mut FrontContext,
         config: &AmqpConfig,
         server_id: ServerId,
         class: usize,
-    ) -> bool {
+    ) -> Result<(), Outcome> {
         let count = self.by_id.get(&server_id).map_or(0, |server| server.classes[class].links.len());
         let address = self.classes[class].clone();
         let name = if count == 0 { address.clone() } else { format!("{address}#{count}") };
@@ -111,10 +116,10 @@
                 if let Some(server) = self.by_id.get_mut(&server_id) {
                     server.classes[class].links.push(SendingLink { token, link, current: None });
                 }
-                true
+                Ok(())
             }
-            Placement::Pending => true,
-            Placement::Unavailable => false,
+            Placement::Pending => Ok(()),
+            Placement::Unavailable(outcome) => Err(outcome),
         }
     }
 
@@ -125,7 +130,7 @@
         let queue = &mut server.classes[class];
         queue.links.retain(|other| (other.token, other.link) != (token, link));
         if queue.links.is_empty() {
-            return queue.fail_waiting();
+            return queue.fail_waiting(Outcome::ConnectFailed);
         }
         self.mark_dirty(server_id);
         Vec::new()
@@ -164,7 +169,9 @@
                         server.waiting_forwarders.push((forwarder, attach));
                     }
                 }
-                Placement::Unavailable => results.push(AttemptResult::ForwarderNotAttached(forwarder)),
+                Placement::Unavailable(outcome) => {
+                    results.push(AttemptResult::ForwarderNotAttached(forwarder, outcome));
+                }
             }
         }
     }
--- a/src/front/amqp/servers.rs
+++ b/src/front/amqp/servers.rs
@@ -6,7 +6,7 @@
 use super::fair_queue::FairQueue;
 use super::forwarders::ForwarderId;
 use crate::front::{FrontContext, TimerEvent};
-use crate::net::{SocketOwner, Token};
+use crate::net::{ConnectError, SocketOwner, Token};
 use crate::requests::FrontId;
 use crate::vocabulary::{Outcome, RequestId, ServerId};
 use sparbank_amqp::{AbandonedDelivery, Attach, Connection, Credentials, LinkId, Role};
@@ -66,7 +66,7 @@
     /// A delivery's attempt has ended.
     Ended(RequestId, Outcome),
     /// A forwarder got no link: there is no connection, or no capacity.
-    ForwarderNotAttached(ForwarderId),
+    ForwarderNotAttached(ForwarderId, Outcome),
 }
 
 /// What a lost connection leaves behind.
@@ -168,17 +168,26 @@
 
     // ---- Connections -----------------------------------------------------------------------------
 
-    /// Opens a connection to a server. False where that is impossible.
-    pub(super) fn dial(&mut self, ctx: &mut FrontContext, config: &AmqpConfig, server_id: ServerId) -> bool {
-        let Some(endpoint) = ctx.registry.entry(server_id) else { return false };
+    /// Opens a connection to a server.
+    ///
+    /// # Errors
+    /// The outcome of the attempts that needed it, where that is impossible.
+    pub(super) fn dial(
+        &mut self,
+        ctx: &mut FrontContext,
+        config: &AmqpConfig,
+        server_id: ServerId,
+    ) -> Result<(), Outcome> {
+        let endpoint = ctx.registry.entry(server_id).ok_or(Outcome::ConnectFailed)?;
         let nonce = super::password_checks::nonce();
         let access = config.server_access(endpoint.name(), endpoint.address(), &nonce);
-        let Some(server) = self.by_id.get_mut(&server_id) else { return false };
+        let server = self.by_id.get_mut(&server_id).ok_or(Outcome::ConnectFailed)?;
         let mut credentials = access.credentials;
         if server.has_no_sasl && credentials == Some(Credentials::Anonymous) {
             credentials = None;
         }
-        let Ok(token) = ctx.net.connect(access.address, SocketOwner::Front(self.front)) else { return false };
+        let connecting = ctx.net.connect(access.address, SocketOwner::Front(self.front));
+        let token = connecting.map_err(ConnectError::outcome)?;
         ctx.net.set_read_limit(token, config.read_ahead_bytes());
         let conn = Connection::dial(ctx.now, config.server_settings(&self.container), credentials);
         server.connections.push(token);
@@ -189,7 +198,7 @@
             TimerEvent::ConnectTimeout(self.front, token),
         );
         self.write_pending(ctx, token);
-        true
+        Ok(())
     }
 
     /// Passes a connection's pending output to its socket.
@@ -233,10 +242,13 @@
     fn remove_server(&mut self, server_id: ServerId, results: &mut Vec<AttemptResult>) {
         let Some(mut server) = self.by_id.remove(&server_id) else { return };
         for class in &mut server.classes {
-            results.extend(class.fail_waiting());
+            results.extend(class.fail_waiting(Outcome::ConnectFailed));
         }
         let waiting = server.waiting_forwarders.into_iter();
-        results.extend(waiting.map(|(forwarder, _)| AttemptResult::ForwarderNotAttached(forwarder)));
+        results
+            .extend(waiting.map(|(forwarder, _)| {
+                AttemptResult::ForwarderNotAttached(forwarder, Outcome::ConnectFailed)
+            }));
         if server.has_no_sasl {
             self.by_id.insert(server_id, Server { has_no_sasl: true, ..Server::default() });
         }
@@ -277,10 +289,10 @@
 }
 
 impl ClassQueue {
-    /// Empties the queue: its attempts could not connect.
-    pub fn fail_waiting(&mut self) -> Vec<AttemptResult> {
+    /// Empties the queue: its attempts could not connect, with this outcome.
+    pub fn fail_waiting(&mut self, outcome: Outcome) -> Vec<AttemptResult> {
         let waiting = self.waiting.drain().into_iter();
-        waiting.map(|request_id| AttemptResult::Ended(request_id, Outcome::ConnectFailed)).collect()
+        waiting.map(|request_id| AttemptResult::Ended(request_id, outcome)).collect()
     }
 
     /// Whether each link is taken by a delivery that was sent partly.
--- a/src/front/text/client_side.rs
+++ b/src/front/text/client_side.rs
@@ -5,7 +5,7 @@
 use super::session::{arrival, ConnectionRole, Session, SessionState};
 use super::TextFront;
 use crate::front::{FrontContext, TimerEvent, ANSWER_MARGIN, TEXT_FRONT};
-use crate::net::{SocketOwner, Token, OUTPUT_HIGH_WATERMARK_BYTES};
+use crate::net::{ConnectError, SocketOwner, Token, OUTPUT_HIGH_WATERMARK_BYTES};
 use crate::vocabulary::{Nanos, Outcome, ServerId};
 
 /// A client may send this many `PING`s on one connection.
@@ -124,31 +124,33 @@
         let timeout = self.sessions.get(&token).map_or(0, |session| session.open.time_left);
         let answer_by = ctx.now + timeout.saturating_sub(ANSWER_MARGIN);
         ctx.wheel.schedule(answer_by, TimerEvent::FrontTimer(TEXT_FRONT, token));
-        if !self.connect_to_server(ctx, token, server, timeout) {
+        if self.connect_to_server(ctx, token, server, timeout).is_err() {
             self.answer_and_close(ctx, token, b"ERR\r\n");
         }
     }
 
-    /// Connects to a server and sends it the client's line. False where no connection could be started.
+    /// Connects to a server and sends it the client's line.
+    ///
+    /// # Errors
+    /// The attempt's outcome, where no connection could be started.
     pub(super) fn connect_to_server(
         &mut self,
         ctx: &mut FrontContext,
         client: Token,
         server: ServerId,
         timeout: Nanos,
-    ) -> bool {
-        let Some(session) = self.sessions.get_mut(&client) else { return true };
-        let Some(addr) = ctx.registry.entry(server).map(|endpoint| endpoint.address()) else { return false };
-        let Ok(server_connection) = ctx.net.connect(addr, SocketOwner::Front(TEXT_FRONT)) else {
-            return false;
-        };
+    ) -> Result<(), Outcome> {
+        let Some(session) = self.sessions.get_mut(&client) else { return Ok(()) };
+        let endpoint = ctx.registry.entry(server).ok_or(Outcome::ConnectFailed)?;
+        let connecting = ctx.net.connect(endpoint.address(), SocketOwner::Front(TEXT_FRONT));
+        let server_connection = connecting.map_err(ConnectError::outcome)?;
         ctx.net.send(server_connection, session.open.line_for_server(timeout).as_bytes());
         let connect_by = ctx.now + ctx.site.limits.dial_timeout_ns;
         ctx.wheel.schedule(connect_by, TimerEvent::ConnectTimeout(TEXT_FRONT, server_connection));
         session.state = SessionState::Attempting { server_connection };
         session.server = Some(server);
         self.connections.insert(server_connection, ConnectionRole::Server { client });
-        true
+        Ok(())
     }
 
     // ---- Input of a client with a request ------------------------------------------------------
--- a/src/front/text/mod.rs
+++ b/src/front/text/mod.rs
@@ -157,10 +157,15 @@
             return self.on_client_input(ctx, client, ctx.net.is_failed(client));
         }
         let is_serving = ctx.registry.entry(server).is_some_and(|endpoint| endpoint.is_ready());
-        if !ctx.net.has_descriptor_for_attempt() || !is_serving {
-            ctx.requests.on_attempt_ended(ctx.now, request_id, Outcome::Rejected);
-        } else if !self.connect_to_server(ctx, client, server, timeout) {
-            ctx.requests.on_attempt_ended(ctx.now, request_id, Outcome::ConnectFailed);
+        let connecting = if !is_serving {
+            Err(Outcome::NotSent)
+        } else if !ctx.net.has_descriptor_for_attempt() {
+            Err(Outcome::LocalShortage)
+        } else {
+            self.connect_to_server(ctx, client, server, timeout)
+        };
+        if let Err(outcome) = connecting {
+            ctx.requests.on_attempt_ended(ctx.now, request_id, outcome);
         }
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,6 +13,7 @@
 //! | `buffered_io` | reading, writing and closing |
 //! | `listener`, `accept` | listeners and accept backpressure |
 //! | `reserve`, `descriptors` | the descriptor reserve, the limit and eviction |
+//! | `connect_error` | why a connection could not be started |
 //! | `system` | the system calls on sockets, which unit tests have fail |
 //! | `transfer` | connections handed to another process |
 //! | `transfer_pause` | reads and writes that find no kernel memory for a moment |
@@ -21,6 +22,7 @@
 
 mod accept;
 mod buffered_io;
+mod connect_error;
 mod descriptors;
 mod event;
 mod listener;
@@ -35,6 +37,7 @@
 mod transfer_pause;
 mod watch_retry;
 
+pub use connect_error::ConnectError;
 pub use event::{SocketEvent, SocketEventKind, SocketOwner};
 pub use listener::ListeningSocket;
 pub use reactor::SocketReactor;
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -1,5 +1,6 @@
 //! The reactor: one wait for all sockets, and queries about each.
 
+use super::connect_error::ConnectError;
 use super::event::{SocketEvent, SocketEventKind, SocketOwner};
 use super::listener::ListeningSocket;
 use super::poller::{Interest, Poller, Readiness};
@@ -193,7 +194,7 @@
     ///
     /// # Errors
     /// Where there is no descriptor, or the system refuses at once.
-    pub fn connect(&mut self, addr: SocketAddr, owner: SocketOwner) -> io::Result<Token> {
+    pub fn connect(&mut self, addr: SocketAddr, owner: SocketOwner) -> Result<Token, ConnectError> {
         let fd = loop {
             match system::stream_socket(addr) {
                 // The system gives fewer descriptors than the configuration says.
@@ -201,12 +202,14 @@
                 created => break created?,
             }
         };
-        sockopt::set_tcp_nodelay(&fd, true)?;
+        // Without it lines are late, no more.
+        let _ = sockopt::set_tcp_nodelay(&fd, true);
         match system::connect(&fd, addr) {
-            Ok(()) | Err(Errno::INPROGRESS) => {}
+            // An interrupted call goes on in the background like any other.
+            Ok(()) | Err(Errno::INPROGRESS | Errno::INTR) => {}
             Err(error) => return Err(error.into()),
         }
-        self.insert(fd, owner, SocketState::Connecting)
+        Ok(self.insert(fd, owner, SocketState::Connecting)?)
     }
 
     /// Registers a descriptor to be read through a buffer, such as a signal's pipe.
@@ -215,7 +218,7 @@
     /// Where it cannot be made non-blocking or watched.
     pub fn register_reader(&mut self, fd: OwnedFd, owner: SocketOwner) -> io::Result<Token> {
         rustix::io::ioctl_fionbio(&fd, true)?;
-        self.insert(fd, owner, SocketState::Open)
+        Ok(self.insert(fd, owner, SocketState::Open)?)
     }
 
     /// Registers a descriptor that its owner reads and writes itself.
@@ -224,7 +227,7 @@
     /// Where it cannot be made non-blocking or watched.
     pub fn register_raw(&mut self, fd: OwnedFd, owner: SocketOwner) -> io::Result<Token> {
         rustix::io::ioctl_fionbio(&fd, true)?;
-        self.insert(fd, owner, SocketState::Raw)
+        Ok(self.insert(fd, owner, SocketState::Raw)?)
     }
 
     /// Puts a socket into the slab and watches it.
@@ -233,7 +236,7 @@
         fd: OwnedFd,
         owner: SocketOwner,
         state: SocketState,
-    ) -> io::Result<Token> {
+    ) -> Result<Token, Errno> {
         let poller = &self.poller;
         let mut is_refused = false;
         let token = self.sockets.insert_with(|token| {
--- a/src/node/event_loop.rs
+++ b/src/node/event_loop.rs
@@ -78,6 +78,9 @@
         if let Some(event) = self.discovery.close_silent_watch(now, &mut self.state.net) {
             self.on_endpoint_event(event);
         }
+        if self.discovery.awaits_socket() {
+            self.subscribe(now);
+        }
         self.for_each_front(|front, ctx| front.on_tick(ctx));
         self.export_flows(now);
         self.state.wheel.schedule(now + TICK_INTERVAL, TimerEvent::Tick);
--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -301,7 +301,7 @@
                 }
             }
             Outcome::Reset if !self.servers.get(server).health.is_unconfirmed() => {}
-            Outcome::Cancelled | Outcome::NotSent | Outcome::Rejected => {}
+            Outcome::Cancelled | Outcome::NotSent | Outcome::LocalShortage | Outcome::Rejected => {}
             Outcome::Reset | Outcome::Error | Outcome::Timeout | Outcome::ConnectFailed => {
                 let roll = self.rng.next_u64();
                 if let Some(health) = self.servers.health_mut(server) {
--- a/src/resilience/retry_safety.rs
+++ b/src/resilience/retry_safety.rs
@@ -55,11 +55,20 @@
 
     /// The last attempt has ended.
     pub fn on_ended(&mut self, server: ServerId, outcome: Outcome) {
+        if outcome == Outcome::LocalShortage {
+            return self.withdraw(server);
+        }
         if !outcome.never_ran() && self.first_possible_run.is_none() {
             self.first_possible_run = Some(PossibleRun { server, sent_at: self.last_sent_at });
         }
     }
 
+    /// The last attempt never left this machine, and the server had no part in that: it is as if it had not been tried.
+    fn withdraw(&mut self, server: ServerId) {
+        self.count = self.count.saturating_sub(1);
+        self.tried.pop_if(|tried| *tried == server);
+    }
+
     /// Whether one more attempt can do no harm, at a server that [`deduplicates`] allows. `dial_timeout` is the
     /// longest time until the attempt's connection is established and the request sent.
     pub fn may_repeat(&self, class: &RequestClass, now: Nanos, dial_timeout: Nanos) -> bool {
--- a/src/vocabulary/event.rs
+++ b/src/vocabulary/event.rs
@@ -21,12 +21,15 @@
     Cancelled,
     /// Never sent.
     NotSent,
+    /// Never sent, for want of a descriptor, a port or memory on this machine: it says nothing of the server, and is no
+    /// attempt.
+    LocalShortage,
 }
 
 impl Outcome {
     /// Whether this outcome proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent)
+        matches!(self, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent | Outcome::LocalShortage)
     }
 }
 
