--- a/src/front/text/mod.rs
+++ b/src/front/text/mod.rs
@@ -284,3 +284,6 @@
         self.report_latencies(ctx);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/front/text/tests.rs
@@ -0,0 +1,231 @@
+//! The text front step by step on real sockets, with a clock that the test sets: what happens between two steps of one
+//! turn of the event loop, as where the process is held up there.
+
+use super::TextFront;
+use crate::config::Config;
+use crate::discovery::EndpointRegistry;
+use crate::front::{Front, FrontContext, TimerEvent, TEXT_FRONT};
+use crate::net::{SocketOwner, SocketReactor, TimerWheel};
+use crate::requests::{Command, RequestTable};
+use crate::vocabulary::{Nanos, Outcome, RequestId};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+const MILLISECOND: Nanos = 1_000_000;
+/// When a test begins.
+const START: Nanos = 1_000_000 * MILLISECOND;
+/// One wait for sockets, in nanoseconds.
+const WAIT: Nanos = 20 * MILLISECOND;
+/// A test that has waited this often waits for what will not come.
+const MAX_WAITS: usize = 100;
+/// Longer than the kernel takes over loopback to deliver a segment.
+const KERNEL_DELIVERY_TIME: Duration = Duration::from_millis(60);
+/// The window in which servers discard repeats, and the class's deadline.
+const DEDUP_WINDOW: Nanos = 800 * MILLISECOND;
+
+/// A text front between one client and two servers.
+struct FrontBench {
+    now: Nanos,
+    net: SocketReactor,
+    requests: RequestTable,
+    registry: EndpointRegistry,
+    wheel: TimerWheel<TimerEvent>,
+    config: Config,
+    front: TextFront,
+    listen: SocketAddr,
+    servers: Vec<TcpListener>,
+}
+
+fn config_text(servers: &[TcpListener]) -> String {
+    let instance = |(index, server): (usize, &TcpListener)| {
+        let address = server.local_addr().expect("an address");
+        format!(
+            r#"{{"instanceId":"s-{index}","hostPort":"{address}","zone":"a","cell":0,"lifecycle":"ready","weight":1.0,"startedAtMs":0}}"#
+        )
+    };
+    let instances: Vec<String> = servers.iter().enumerate().map(instance).collect();
+    format!(
+        r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"7","limits":{{"sockets":256}},
+        "known":{{"generation":1,"reset":true,"instances":[{}]}},
+        "settings":{{"Profiles":[{{"Effect":"idempotency_key","DedupScope":"all","WindowNs":{DEDUP_WINDOW},
+            "HardLimitNs":{},"Name":"keyed","ObjectiveNs":{}}}],"Discovery":"ask","Zones":["a"],
+        "Limits":{{"MaxAttempts":3,"MayCancel":true,"DialTimeoutNs":{}}},"Rules":{{}}}}}}"#,
+        instances.join(","),
+        5_000 * MILLISECOND,
+        300 * MILLISECOND,
+        250 * MILLISECOND,
+    )
+}
+
+impl FrontBench {
+    fn new() -> FrontBench {
+        let servers: Vec<TcpListener> =
+            (0..2).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+        let config = Config::parse(&config_text(&servers)).expect("it is valid");
+        let mut net = SocketReactor::new(config.max_descriptors).expect("epoll");
+        let listen = net.listen(config.listen, SocketOwner::Front(TEXT_FRONT)).expect("a port");
+        let mut requests = RequestTable::new(config.seed, config.settings.clone()).expect("valid settings");
+        let mut registry = EndpointRegistry::new(config.site.zones.clone());
+        requests.push_event(registry.restore(&config.known_endpoints));
+        let mut bench = FrontBench {
+            now: START,
+            net,
+            requests,
+            registry,
+            wheel: TimerWheel::new(START),
+            config,
+            front: TextFront::new(),
+            listen,
+            servers,
+        };
+        bench.decide();
+        bench
+    }
+
+    /// Calls the front.
+    fn with_front<R>(&mut self, call: impl FnOnce(&mut TextFront, &mut FrontContext) -> R) -> R {
+        let mut ctx = FrontContext {
+            now: self.now,
+            net: &mut self.net,
+            requests: &mut self.requests,
+            registry: &self.registry,
+            wheel: &mut self.wheel,
+            site: &self.config.site,
+            classes: &self.config.settings.classes,
+            accepts_clients: true,
+            shutting_down: false,
+        };
+        call(&mut self.front, &mut ctx)
+    }
+
+    /// Handles what the sockets have, as the first step of a turn.
+    fn poll(&mut self) {
+        for event in self.net.poll(self.now, WAIT).expect("a turn") {
+            if matches!(event.owner, SocketOwner::Front(_)) {
+                self.with_front(|front, ctx| front.on_socket_event(ctx, event));
+            }
+        }
+    }
+
+    /// Has the balancer decide, as the second step of a turn. Timers that it sets elapse at once.
+    fn decide(&mut self) -> Vec<RequestId> {
+        let mut started = Vec::new();
+        while self.requests.has_pending_events() {
+            for command in self.requests.decide(self.now) {
+                match command {
+                    Command::StartAttempt { request_id, server, timeout, .. } => {
+                        started.push(request_id);
+                        self.with_front(|front, ctx| front.start_attempt(ctx, request_id, server, timeout));
+                    }
+                    Command::SetTimer { token, .. } => {
+                        self.requests.push_event(crate::vocabulary::Event::Timer(token));
+                    }
+                    Command::Reject { request_id, .. } => {
+                        self.with_front(|front, ctx| front.reject(ctx, request_id, 0));
+                    }
+                    Command::Fail { request_id, .. } => {
+                        self.with_front(|front, ctx| front.fail(ctx, request_id));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        started
+    }
+
+    /// Writes to the connections that were established, as the last step of a turn.
+    fn flush_connected(&mut self) {
+        self.net.flush_connected();
+    }
+
+    /// A client whose request has an attempt; the connection to the server is established, and nothing is written.
+    fn attempt_about_to_be_sent(&mut self) -> (TcpStream, RequestId) {
+        let mut client = TcpStream::connect(self.listen).expect("it listens");
+        client.write_all(b"OPEN 1 1 c=keyed,t=acme,d=5000,g=5c\r\n").expect("written");
+        for _ in 0..MAX_WAITS {
+            self.poll();
+            if let [request_id] = self.decide()[..] {
+                std::thread::sleep(KERNEL_DELIVERY_TIME);
+                self.poll();
+                return (client, request_id);
+            }
+        }
+        panic!("no attempt")
+    }
+
+    /// The connection that a server has waiting, with what was written to it so far.
+    fn received_by_a_server(&mut self) -> (TcpStream, String) {
+        std::thread::sleep(KERNEL_DELIVERY_TIME);
+        for server in &self.servers {
+            server.set_nonblocking(true).expect("non-blocking");
+            if let Ok((mut stream, _)) = server.accept() {
+                stream.set_nonblocking(true).expect("non-blocking");
+                let mut bytes = [0; 1024];
+                let text = match stream.read(&mut bytes) {
+                    Ok(count) => String::from_utf8_lossy(&bytes[..count]).into_owned(),
+                    Err(error) if error.kind() == ErrorKind::WouldBlock => String::new(),
+                    Err(_) => String::new(),
+                };
+                return (stream, text);
+            }
+        }
+        panic!("no connection")
+    }
+}
+
+/// The node is held up after it has read its sockets, and the client goes meanwhile: its request is not sent.
+#[test]
+fn a_client_that_goes_while_the_node_is_held_up_gets_no_attempt() {
+    let mut bench = FrontBench::new();
+    let (client, _) = bench.attempt_about_to_be_sent();
+    drop(client);
+    std::thread::sleep(KERNEL_DELIVERY_TIME);
+    bench.flush_connected();
+    assert_eq!(bench.received_by_a_server().1, "");
+}
+
+/// The node is held up before it writes a repeat: with the window of its key nearly over, it is not sent.
+#[test]
+fn a_repeat_is_not_sent_once_the_node_was_held_up_to_the_end_of_its_window() {
+    let mut bench = FrontBench::new();
+    let (_client, _) = bench.attempt_about_to_be_sent();
+    bench.flush_connected();
+    let (first, line) = bench.received_by_a_server();
+    assert!(line.starts_with("OPEN 1 1 "), "{line:?}");
+    bench.now += DEDUP_WINDOW / 2;
+    drop(first);
+    std::thread::sleep(KERNEL_DELIVERY_TIME);
+    bench.poll();
+    assert_eq!(bench.decide().len(), 1, "it is repeated");
+    std::thread::sleep(KERNEL_DELIVERY_TIME);
+    bench.poll();
+    bench.now += DEDUP_WINDOW / 2;
+    bench.flush_connected();
+    assert_eq!(bench.received_by_a_server().1, "");
+}
+
+/// The server's answer has arrived and is not read when the attempt's time is up: it counts.
+#[test]
+fn an_answer_that_waits_in_the_kernel_counts_before_the_time_out() {
+    let mut bench = FrontBench::new();
+    let (mut client, request_id) = bench.attempt_about_to_be_sent();
+    bench.flush_connected();
+    let (mut attempt, _) = bench.received_by_a_server();
+    attempt.write_all(b"UP r1\r\n").expect("written");
+    std::thread::sleep(KERNEL_DELIVERY_TIME);
+    bench.time_out(request_id);
+    client.set_read_timeout(Some(Duration::from_secs(1))).expect("a time-out");
+    let mut answer = [0; 7];
+    client.read_exact(&mut answer).expect("the answer");
+    assert_eq!(&answer, b"UP r1\r\n");
+}
+
+impl FrontBench {
+    /// The attempt's time is up, as the node sees it.
+    fn time_out(&mut self, request_id: RequestId) {
+        let outcome = self.with_front(|front, ctx| front.cancel_attempt(ctx, request_id));
+        assert_eq!(outcome, Outcome::Timeout);
+        self.requests.on_attempt_ended(self.now, request_id, outcome);
+    }
+}
