Decide in one place whether a request may be started, sent, repeated or closed

Cause: an attempt's line was buffered with the connect and written at the end of the turn in which it was established, whatever had become of client, server and window since; a time-out did not read first. Change: src/rules has four questions with typed facts and refusals. The text front writes the line in on_connected, after the watch and the client's socket were read again, before deadline and window less 0.15 s; AMQP asks before a delivery's first octet; the balancer's repeats and the front's starts ask there too. read_answer comes before an attempt's time-out. Closes are checked against their answer and their announcement; a violation is logged (invariant-violated) and counted. A server line that is too long on an established connection now moves its client instead of cutting it off.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -68,6 +68,8 @@
     pub quota_rejected: u64,
     /// Established connections migrated because they exceeded the quotas.
     pub quota_migrated: u64,
+    /// Rules of the protocol that this node broke. None is expected: each has a log line `invariant-violated`.
+    pub invariant_violations: u64,
     /// Admin calls that started a drain.
     pub drains: u64,
     /// Admin calls that ended a drain.
@@ -98,7 +100,7 @@
     }
 
     /// Every counter with its name, in the order of the log line.
-    fn entries(&self) -> [(&'static str, u64); 36] {
+    fn entries(&self) -> [(&'static str, u64); 37] {
         [
             ("requests", self.requests),
             ("resumed", self.resumed),
@@ -131,6 +133,7 @@
             ("inherited", self.inherited),
             ("quota_rejected", self.quota_rejected),
             ("quota_migrated", self.quota_migrated),
+            ("invariant_violations", self.invariant_violations),
             ("drains", self.drains),
             ("resumes", self.resumes),
             ("admin_accepted", self.admin_accepted),
--- a/src/front/amqp/sending.rs
+++ b/src/front/amqp/sending.rs
@@ -24,6 +24,8 @@
     Progress,
     /// This request's message is larger than the server accepts.
     TooLarge(RequestId),
+    /// This request may not be sent to the server any more.
+    NotSent(RequestId),
 }
 
 /// What a link needs for its turn.
@@ -96,6 +98,10 @@
                             results.push(AttemptResult::Ended(request_id, Outcome::Rejected));
                             progress = true;
                         }
+                        Turn::NotSent(request_id) => {
+                            results.push(AttemptResult::Ended(request_id, Outcome::NotSent));
+                            progress = true;
+                        }
                     }
                 }
             }
@@ -131,6 +137,14 @@
         let progress = match attempt.stage {
             AttemptStage::Sent { .. } => return Turn::Progress,
             AttemptStage::Queued => {
+                let server_ready = self.ctx.registry.entry(self.server).is_some_and(|entry| entry.is_ready());
+                // A client that comes back may still resume the delivery: its absence does not count here.
+                let permission = self.ctx.requests.may_send(self.ctx.now, request_id, false, server_ready);
+                if let Err(refusal) = permission {
+                    let request = request_id.0;
+                    crate::log::trace(format_args!("trace not-sent request={request} reason={refusal}"));
+                    return Turn::NotSent(request_id);
+                }
                 let size = delivery.bytes.len() as u64;
                 if conn.max_message_size(link.link).is_some_and(|max_size| size > max_size) {
                     return Turn::TooLarge(request_id);
--- a/src/front/api.rs
+++ b/src/front/api.rs
@@ -83,6 +83,13 @@
     /// Whether the front has no client.
     fn is_idle(&self) -> bool;
 
+    /// An outgoing connection has been established, and nothing of it is written yet. It comes after all else of the
+    /// turn; the time and the sockets are to be looked at again, since the process may have been held up.
+    fn on_connected(&mut self, _ctx: &mut FrontContext, _token: Token) {}
+
+    /// Handles what has already arrived from the server of an attempt whose time is up.
+    fn read_answer(&mut self, _ctx: &mut FrontContext, _request_id: RequestId) {}
+
     /// An outgoing connection has reached its time-out, whether or not it is established by now.
     fn on_connect_timeout(&mut self, _ctx: &mut FrontContext, _token: Token) {}
     /// Requests a server's load report in the platform's protocol. The result is pushed to the request table as
--- a/src/front/text/client_side.rs
+++ b/src/front/text/client_side.rs
@@ -2,10 +2,11 @@
 
 use super::line_buffer::{take_line, LineRead};
 use super::request_line::{OpenRequest, RequestLine};
-use super::session::{arrival, ConnectionRole, Session, SessionState};
+use super::session::{arrival, AttemptState, ConnectionRole, Session, SessionEnding, SessionState};
 use super::TextFront;
 use crate::front::{FrontContext, TimerEvent, ANSWER_MARGIN, TEXT_FRONT};
 use crate::net::{ConnectError, SocketOwner, Token, OUTPUT_HIGH_WATERMARK_BYTES};
+use crate::rules::{check_close, may_start, CloseFacts, SendRefusal, StartFacts, StartRefusal, Violation};
 use crate::vocabulary::{Nanos, Outcome, ServerId};
 
 /// A client may send this many `PING`s on one connection.
@@ -83,20 +84,9 @@
     // ---- A request -----------------------------------------------------------------------------
 
     fn open_request(&mut self, ctx: &mut FrontContext, token: Token, open: OpenRequest) {
-        // Neither the id of another open request nor a second line behind the first can be used: servers close on
-        // the one, and the other has no meaning before UP.
-        let has_more_input = ctx.net.input_buffer(token).is_some_and(|input| !input.is_empty());
-        if has_more_input || self.open_ids.contains(&open.id) {
-            return self.reject_malformed(ctx, token);
-        }
         ctx.net.mark_handshake_complete(token);
-        // The process is about to end: a request that is forwarded now would not be answered from there.
-        if ctx.shutting_down && open.resumed_at.is_none() {
-            return self.answer_and_close(ctx, token, b"BUSY\r\n");
-        }
-        if !ctx.net.reclaim_descriptors() {
-            ctx.requests.counters.capacity_rejected += 1;
-            return self.answer_and_close(ctx, token, b"BUSY 500\r\n");
+        if let Err(refusal) = self.check_start(ctx, token, &open) {
+            return self.refuse_start(ctx, token, &open, refusal);
         }
         self.open_ids.insert(open.id.clone());
         self.connections.insert(token, ConnectionRole::Client);
@@ -109,6 +99,43 @@
         }
     }
 
+    fn check_start(
+        &self,
+        ctx: &mut FrontContext,
+        token: Token,
+        open: &OpenRequest,
+    ) -> Result<(), StartRefusal> {
+        let facts = StartFacts {
+            is_closing: ctx.shutting_down,
+            is_restored: open.resumed_at.is_some(),
+            has_more_input: ctx.net.input_buffer(token).is_some_and(|input| !input.is_empty()),
+            is_duplicate_id: self.open_ids.contains(&open.id),
+            has_descriptor: true,
+        };
+        may_start(&facts)?;
+        // Descriptors are reclaimed for a request that is taken on otherwise.
+        let has_descriptor = ctx.net.reclaim_descriptors();
+        may_start(&StartFacts { has_descriptor, ..facts })
+    }
+
+    fn refuse_start(
+        &mut self,
+        ctx: &mut FrontContext,
+        token: Token,
+        open: &OpenRequest,
+        refusal: StartRefusal,
+    ) {
+        crate::log::trace(format_args!("trace refused-start id={} reason={refusal}", open.id));
+        match refusal {
+            StartRefusal::MoreInput | StartRefusal::DuplicateId => self.reject_malformed(ctx, token),
+            StartRefusal::Closing => self.answer_and_close(ctx, token, b"BUSY\r\n"),
+            StartRefusal::NoDescriptor => {
+                ctx.requests.counters.capacity_rejected += 1;
+                self.answer_and_close(ctx, token, b"BUSY 500\r\n");
+            }
+        }
+    }
+
     fn place_request(&mut self, ctx: &mut FrontContext, token: Token, open: OpenRequest) {
         let request_id = ctx.requests.on_request(ctx.now, TEXT_FRONT, arrival(&open));
         self.clients.insert(request_id, token);
@@ -129,7 +156,7 @@
         }
     }
 
-    /// Connects to a server and sends it the client's line.
+    /// Connects to a server. The client's line is sent once the connection is established ([`TextFront::send_request`]).
     ///
     /// # Errors
     /// The attempt's outcome, where no connection could be started.
@@ -144,15 +171,53 @@
         let endpoint = ctx.registry.entry(server).ok_or(Outcome::ConnectFailed)?;
         let connecting = ctx.net.connect(endpoint.address(), SocketOwner::Front(TEXT_FRONT));
         let server_connection = connecting.map_err(ConnectError::outcome)?;
-        ctx.net.send(server_connection, session.open.line_for_server(timeout).as_bytes());
         let connect_by = ctx.now + ctx.site.limits.dial_timeout_ns;
         ctx.wheel.schedule(connect_by, TimerEvent::ConnectTimeout(TEXT_FRONT, server_connection));
-        session.state = SessionState::Attempting { server_connection };
+        let ends_at = ctx.now + timeout;
+        session.state =
+            SessionState::Attempting(AttemptState { server_connection, ends_at, line_sent: false });
         session.server = Some(server);
         self.connections.insert(server_connection, ConnectionRole::Server { client });
         Ok(())
     }
 
+    /// Sends a request line on a connection that has just been established, if it may still be sent.
+    pub(super) fn send_request(&mut self, ctx: &mut FrontContext, client: Token) {
+        if let Err(refusal) = self.check_send(ctx, client) {
+            return self.on_send_refused(ctx, client, refusal);
+        }
+        let Some(session) = self.sessions.get_mut(&client) else { return };
+        let SessionState::Attempting(attempt) = &mut session.state else { return };
+        attempt.line_sent = true;
+        let time_left = attempt.ends_at.saturating_sub(ctx.now);
+        ctx.net.send(attempt.server_connection, session.open.line_for_server(time_left).as_bytes());
+    }
+
+    fn check_send(&self, ctx: &mut FrontContext, client: Token) -> Result<(), SendRefusal> {
+        let Some(session) = self.sessions.get(&client) else { return Err(SendRefusal::NotCurrent) };
+        ctx.net.read_available(client);
+        let client_gone = has_disconnected(ctx, client);
+        let server_ready = session.server.is_some_and(|server| is_ready(ctx, server));
+        match session.request_id {
+            Some(request_id) => ctx.requests.may_send(ctx.now, request_id, client_gone, server_ready),
+            // It is restored at the server that it had before the run, in whatever state that is.
+            None if client_gone => Err(SendRefusal::ClientGone),
+            None => Ok(()),
+        }
+    }
+
+    fn on_send_refused(&mut self, ctx: &mut FrontContext, client: Token, refusal: SendRefusal) {
+        let request_id = self.sessions.get(&client).and_then(|session| session.request_id);
+        let request = request_id.map_or(0, |request_id| request_id.0);
+        crate::log::trace(format_args!("trace not-sent request={request} reason={refusal}"));
+        match refusal {
+            SendRefusal::ClientGone => self.on_client_input(ctx, client, ctx.net.is_failed(client)),
+            SendRefusal::NotCurrent | SendRefusal::ServerNotReady | SendRefusal::TooLate => {
+                self.on_attempt_end(ctx, client, Outcome::NotSent, true);
+            }
+        }
+    }
+
     // ---- Input of a client with a request ------------------------------------------------------
 
     /// Input of a client with a request, its end, or the failure of its connection.
@@ -204,11 +269,26 @@
 
     /// Sends the final answer of a client that has none, and closes its connection.
     pub(super) fn answer_and_close(&mut self, ctx: &mut FrontContext, token: Token, answer: &[u8]) {
+        self.record_answer(ctx, token);
         ctx.net.send(token, answer);
         self.remove_session(ctx, token);
         ctx.net.close(token);
     }
 
+    /// A client gets its final answer, or is told to come again once its session is established.
+    fn record_answer(&mut self, ctx: &mut FrontContext, client: Token) {
+        let Some(session) = self.sessions.get_mut(&client) else { return };
+        if session.is_established() {
+            session.end_announced = true;
+        } else if std::mem::replace(&mut session.is_answered, true) {
+            let request = session.request_id.map_or(0, |request_id| request_id.0);
+            let id = &session.open.id;
+            ctx.requests
+                .violations
+                .record(Violation::AnsweredTwice, format_args!("request={request} id={id}"));
+        }
+    }
+
     /// Ends an established session: both connections end, the same way.
     pub(super) fn end_session(
         &mut self,
@@ -217,7 +297,12 @@
         outcome: Outcome,
         by_reset: bool,
     ) {
-        let Some(session) = self.sessions.get(&client) else { return };
+        let Some(session) = self.sessions.get_mut(&client) else { return };
+        session.end_announced |= has_ended(ctx, client)
+            || session.server_connection().is_none_or(|server_connection| has_ended(ctx, server_connection))
+            || session
+                .established()
+                .is_some_and(|established| established.ending != SessionEnding::Unannounced);
         if let Some(request_id) = session.request_id {
             ctx.requests.on_attempt_ended(ctx.now, request_id, outcome);
         }
@@ -237,6 +322,7 @@
         self.connections.remove(&client);
         let Some(session) = self.sessions.remove(&client) else { return };
         session.trace("over", ctx);
+        check_session_close(ctx, &session);
         self.open_ids.remove(&session.open.id);
         if let Some(request_id) = session.request_id {
             self.clients.remove(&request_id);
@@ -244,3 +330,34 @@
         self.close_server_connection(ctx, &session.state);
     }
 }
+
+/// Whether a client waits no longer for its answer: it has ended or reset its connection, or sent what is no request.
+pub(super) fn has_disconnected(ctx: &mut FrontContext, client: Token) -> bool {
+    let has_input = ctx.net.input_buffer(client).is_none_or(|input| !input.is_empty());
+    has_input || ctx.net.is_read_closed(client) || ctx.net.is_failed(client)
+}
+
+/// Whether the other side of a connection has ended or reset it.
+fn has_ended(ctx: &FrontContext, token: Token) -> bool {
+    ctx.net.is_read_closed(token) || ctx.net.is_failed(token)
+}
+
+/// Checks that a session that is over was answered, and announced where it was established.
+fn check_session_close(ctx: &mut FrontContext, session: &Session) {
+    let facts = CloseFacts {
+        has_request: true,
+        is_answered: session.is_answered,
+        is_established: session.is_established(),
+        is_announced: session.end_announced,
+    };
+    if let Err(violation) = check_close(&facts) {
+        let request = session.request_id.map_or(0, |request_id| request_id.0);
+        let id = &session.open.id;
+        ctx.requests.violations.record(violation, format_args!("request={request} id={id}"));
+    }
+}
+
+/// Whether a server takes new requests, by the endpoint list.
+pub(super) fn is_ready(ctx: &FrontContext, server: ServerId) -> bool {
+    ctx.registry.entry(server).is_some_and(|endpoint| endpoint.is_ready())
+}
--- a/src/front/text/handover.rs
+++ b/src/front/text/handover.rs
@@ -131,6 +131,10 @@
             client,
             server,
         };
+        // Here it ends without a word, since it goes on in the other process.
+        if let Some(session) = self.sessions.get_mut(&token) {
+            session.end_announced = true;
+        }
         self.remove_session(ctx, token);
         let transferred = TransferredSession::Established(transferred);
         Some(TransferredConnection {
@@ -201,6 +205,8 @@
             request_id: Some(request_id),
             server: Some(server),
             state: SessionState::Established(established),
+            is_answered: true,
+            end_announced: false,
         };
         session.trace("took", ctx);
         self.sessions.insert(client, session);
--- a/src/front/text/mod.rs
+++ b/src/front/text/mod.rs
@@ -24,8 +24,10 @@
 use super::{Front, FrontContext, TransferredConnection};
 use crate::net::{SocketEvent, SocketEventKind, Token};
 use crate::vocabulary::{Event, Nanos, Outcome, RequestId, ServerId};
+use client_side::{has_disconnected, is_ready};
 use health_check::HealthChecks;
 use latency::LatencyTracker;
+use server_side::is_line_written;
 use session::{ConnectionEvent, ConnectionRole, Session, SessionState};
 use std::collections::{HashMap, HashSet};
 
@@ -152,12 +154,10 @@
         // No attempt is started for a client that has disconnected by now, nor at a server that has begun to drain
         // in this very turn, after it was selected.
         ctx.net.read_available(client);
-        let has_input = ctx.net.input_buffer(client).is_none_or(|input| !input.is_empty());
-        if has_input || ctx.net.is_read_closed(client) || ctx.net.is_failed(client) {
+        if has_disconnected(ctx, client) {
             return self.on_client_input(ctx, client, ctx.net.is_failed(client));
         }
-        let is_serving = ctx.registry.entry(server).is_some_and(|endpoint| endpoint.is_ready());
-        let connecting = if !is_serving {
+        let connecting = if !is_ready(ctx, server) {
             Err(Outcome::NotSent)
         } else if !ctx.net.has_descriptor_for_attempt() {
             Err(Outcome::LocalShortage)
@@ -171,18 +171,30 @@
 
     fn cancel_attempt(&mut self, ctx: &mut FrontContext, request_id: RequestId) -> Outcome {
         let Some(client) = self.clients.get(&request_id).copied() else { return Outcome::Cancelled };
-        let connection = self.sessions.get(&client).and_then(|session| session.server_connection());
-        let is_unsent = connection.is_some_and(|connection| {
-            ctx.net.is_connecting(connection) || ctx.net.pending_output_bytes(connection) > 0
-        });
+        let attempt = self.sessions.get(&client).and_then(|session| session.attempt());
+        let may_have_run = attempt.is_none_or(|attempt| is_line_written(ctx, attempt));
         self.drop_attempt(ctx, client);
-        if is_unsent {
-            Outcome::ConnectFailed
-        } else {
+        if may_have_run {
             Outcome::Timeout
+        } else {
+            Outcome::ConnectFailed
         }
     }
 
+    fn on_connected(&mut self, ctx: &mut FrontContext, token: Token) {
+        if let Some(client) = self.client_of(token) {
+            self.send_request(ctx, client);
+        }
+    }
+
+    fn read_answer(&mut self, ctx: &mut FrontContext, request_id: RequestId) {
+        let Some(client) = self.clients.get(&request_id).copied() else { return };
+        let connection = self.sessions.get(&client).and_then(|session| session.server_connection());
+        let Some(connection) = connection else { return };
+        ctx.net.read_available(connection);
+        self.on_server_event(ctx, client, connection, ConnectionEvent::Ready);
+    }
+
     fn reject(&mut self, ctx: &mut FrontContext, request_id: RequestId, retry_after: Nanos) {
         if let Some(client) = self.clients.get(&request_id).copied() {
             let answer = match retry_after / 1_000_000 {
@@ -250,7 +262,7 @@
     /// Attempts of which no byte has gone out are cancelled.
     fn on_servers_draining(&mut self, ctx: &mut FrontContext, stopped: &[ServerId]) {
         let is_unsent = |session: &Session| match session.state {
-            SessionState::Attempting { server_connection } => !ctx.net.has_written(server_connection),
+            SessionState::Attempting(attempt) => !ctx.net.has_written(attempt.server_connection),
             SessionState::AwaitingAttempt | SessionState::Established(_) => false,
         };
         let is_stopped = |session: &Session| session.server.is_some_and(|server| stopped.contains(&server));
--- a/src/front/text/server_side.rs
+++ b/src/front/text/server_side.rs
@@ -3,7 +3,7 @@
 use super::line_buffer::{take_line, LineRead};
 use super::load_report::log_malformed_trailing_report;
 use super::request_line::parse_load;
-use super::session::{arrival, ConnectionEvent, ConnectionRole, SessionEnding, SessionState};
+use super::session::{arrival, AttemptState, ConnectionEvent, ConnectionRole, SessionEnding, SessionState};
 use super::TextFront;
 use crate::front::{FrontContext, TEXT_FRONT};
 use crate::net::{Token, OUTPUT_HIGH_WATERMARK_BYTES};
@@ -33,8 +33,10 @@
             ConnectionEvent::Ready if established => self.on_client_input(ctx, client, false),
             ConnectionEvent::Ready => {}
             // Before its last byte was written the request cannot have run; after that it may have.
-            ConnectionEvent::Failed { all_written: false } if !established => {
-                self.on_attempt_end(ctx, client, Outcome::ConnectFailed, true);
+            ConnectionEvent::Failed { all_written } if !established => {
+                let line_sent = self.has_sent_line(client);
+                let outcome = if all_written && line_sent { Outcome::Reset } else { Outcome::ConnectFailed };
+                self.on_attempt_end(ctx, client, outcome, true);
             }
             ConnectionEvent::Failed { .. } => self.on_attempt_end(ctx, client, Outcome::Reset, true),
         }
@@ -102,10 +104,17 @@
             ctx.net.send(client, &rest);
         }
         let all_written = ctx.net.pending_output_bytes(server_connection) == 0;
-        let outcome = if all_written { Outcome::Reset } else { Outcome::ConnectFailed };
+        let may_have_run = all_written && (established || self.has_sent_line(client));
+        let outcome = if may_have_run { Outcome::Reset } else { Outcome::ConnectFailed };
         self.on_attempt_end(ctx, client, outcome, false);
     }
 
+    /// Whether the line of a client's attempt has been passed to its socket.
+    fn has_sent_line(&self, client: Token) -> bool {
+        let attempt = self.sessions.get(&client).and_then(|session| session.attempt());
+        attempt.is_some_and(|attempt| attempt.line_sent)
+    }
+
     /// The first line of a server answers the request line.
     fn on_first_answer(&mut self, ctx: &mut FrontContext, client: Token, line: &[u8]) {
         let word = line.split(|byte| byte.is_ascii_whitespace()).next().unwrap_or(b"");
@@ -141,6 +150,7 @@
             }
         }
         session.establish();
+        session.is_answered = true;
         session.trace("established", ctx);
         ctx.net.send(client, line);
         self.on_client_input(ctx, client, false);
@@ -191,6 +201,11 @@
         let Some(session) = self.sessions.get(&client) else { return };
         if let Some(established) = session.established() {
             let ending = established.ending;
+            if outcome == Outcome::Error {
+                // The server is there and cannot be used: the client goes on elsewhere.
+                ctx.requests.on_attempt_ended(ctx.now, session.request_id.unwrap_or(RequestId(0)), outcome);
+                return self.answer_and_close(ctx, client, b"MOVE\r\n");
+            }
             return match ending {
                 SessionEnding::Completed => self.end_session(ctx, client, Outcome::Ok, false),
                 SessionEnding::Migrated => self.end_session(ctx, client, Outcome::Cancelled, false),
@@ -225,7 +240,7 @@
     pub(super) fn close_server_connection(&mut self, ctx: &mut FrontContext, state: &SessionState) {
         match state {
             SessionState::AwaitingAttempt => {}
-            SessionState::Attempting { server_connection } => {
+            SessionState::Attempting(AttemptState { server_connection, .. }) => {
                 self.connections.remove(server_connection);
                 if ctx.net.pending_output_bytes(*server_connection) > 0 {
                     ctx.net.close_without_flush(*server_connection);
@@ -249,6 +264,11 @@
     }
 }
 
+/// Whether the last byte of an attempt's line has been written: from then on it may have run.
+pub(super) fn is_line_written(ctx: &FrontContext, attempt: &AttemptState) -> bool {
+    attempt.line_sent && ctx.net.pending_output_bytes(attempt.server_connection) == 0
+}
+
 fn report_load(ctx: &mut FrontContext, id: RequestId, cost: crate::vocabulary::Nanos) {
     crate::log::trace(format_args!("trace load request={} us={}", id.0, cost / 1_000));
     ctx.requests.push_event(Event::LoadReport { id, cost });
--- a/src/front/text/session.rs
+++ b/src/front/text/session.rs
@@ -40,18 +40,32 @@
     /// The server of the latest attempt.
     pub(super) server: Option<ServerId>,
     pub(super) state: SessionState,
+    /// The client has its final answer.
+    pub(super) is_answered: bool,
+    /// The client of the established session was told to come again, or one of the two sides has ended.
+    pub(super) end_announced: bool,
 }
 
 /// How far a session has got.
 pub(super) enum SessionState {
     /// The request waits for its first attempt, or for the next one.
     AwaitingAttempt,
-    /// The request line is on its way to a server, which has not answered it.
-    Attempting { server_connection: Token },
+    /// An attempt is out, and the server has not answered it.
+    Attempting(AttemptState),
     /// The server has said `UP`: lines pass both ways.
     Established(EstablishedSession),
 }
 
+/// An attempt that the server has not answered.
+#[derive(Clone, Copy)]
+pub(super) struct AttemptState {
+    pub(super) server_connection: Token,
+    /// The node stops waiting then.
+    pub(super) ends_at: Nanos,
+    /// The request line has been passed to the socket, which may not have written all of it.
+    pub(super) line_sent: bool,
+}
+
 /// What is known of an established session.
 pub(super) struct EstablishedSession {
     pub(super) server_connection: Token,
@@ -80,7 +94,14 @@
 impl Session {
     /// A session whose request has just been read.
     pub(super) fn new(open: OpenRequest) -> Session {
-        Session { open, request_id: None, server: None, state: SessionState::AwaitingAttempt }
+        Session {
+            open,
+            request_id: None,
+            server: None,
+            state: SessionState::AwaitingAttempt,
+            is_answered: false,
+            end_announced: false,
+        }
     }
 
     /// Whether the server has accepted the client.
@@ -92,7 +113,7 @@
     pub(super) fn established(&self) -> Option<&EstablishedSession> {
         match &self.state {
             SessionState::Established(established) => Some(established),
-            SessionState::AwaitingAttempt | SessionState::Attempting { .. } => None,
+            SessionState::AwaitingAttempt | SessionState::Attempting(_) => None,
         }
     }
 
@@ -100,16 +121,24 @@
     pub(super) fn server_connection(&self) -> Option<Token> {
         match &self.state {
             SessionState::AwaitingAttempt => None,
-            SessionState::Attempting { server_connection } => Some(*server_connection),
+            SessionState::Attempting(attempt) => Some(attempt.server_connection),
             SessionState::Established(established) => Some(established.server_connection),
         }
     }
 
+    /// The attempt that the server has not answered, if there is one.
+    pub(super) fn attempt(&self) -> Option<&AttemptState> {
+        match &self.state {
+            SessionState::Attempting(attempt) => Some(attempt),
+            SessionState::AwaitingAttempt | SessionState::Established(_) => None,
+        }
+    }
+
     /// The server has accepted the client.
     pub(super) fn establish(&mut self) {
-        if let SessionState::Attempting { server_connection } = self.state {
+        if let SessionState::Attempting(attempt) = self.state {
             self.state = SessionState::Established(EstablishedSession {
-                server_connection,
+                server_connection: attempt.server_connection,
                 unanswered_since: None,
                 ending: SessionEnding::Unannounced,
                 load: None,
--- a/src/front/text/tests.rs
+++ b/src/front/text/tests.rs
@@ -136,7 +136,10 @@
 
     /// Writes to the connections that were established, as the last step of a turn.
     fn flush_connected(&mut self) {
-        self.net.flush_connected();
+        for connected in self.net.take_connected() {
+            self.with_front(|front, ctx| front.on_connected(ctx, connected.token));
+            self.net.flush(connected.token);
+        }
     }
 
     /// A client whose request has an attempt; the connection to the server is established, and nothing is written.
@@ -224,8 +227,11 @@
 impl FrontBench {
     /// The attempt's time is up, as the node sees it.
     fn time_out(&mut self, request_id: RequestId) {
-        let outcome = self.with_front(|front, ctx| front.cancel_attempt(ctx, request_id));
-        assert_eq!(outcome, Outcome::Timeout);
-        self.requests.on_attempt_ended(self.now, request_id, outcome);
+        self.with_front(|front, ctx| front.read_answer(ctx, request_id));
+        if self.requests.front_of_attempt(request_id, 1).is_some() {
+            let outcome = self.with_front(|front, ctx| front.cancel_attempt(ctx, request_id));
+            assert_eq!(outcome, Outcome::Timeout);
+            self.requests.on_attempt_ended(self.now, request_id, outcome);
+        }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -101,6 +101,7 @@
 mod random;
 mod requests;
 pub mod resilience;
+mod rules;
 pub mod simulator;
 pub mod vocabulary;
 
--- a/src/net/buffered_io.rs
+++ b/src/net/buffered_io.rs
@@ -1,6 +1,6 @@
 //! Reading, writing and closing of buffered connections.
 
-use super::event::SocketEventKind;
+use super::event::{ConnectedSocket, SocketEventKind};
 use super::reactor::{SocketDeadline, SocketReactor};
 use super::slab::Token;
 use super::socket::{Socket, SocketState, WriteState};
@@ -107,18 +107,22 @@
         }
     }
 
-    /// Writes what waits on the connections that were established in this turn. It comes after all else of the
-    /// turn, so that clients' disconnects and drained servers are known before a request goes out.
-    pub fn flush_connected(&mut self) {
-        for token in std::mem::take(&mut self.connected) {
-            let writable = self
-                .sockets
-                .get(token)
-                .is_some_and(|socket| socket.state == SocketState::Open || socket.is_lingering());
-            if writable {
-                self.flush_output(token);
-                self.update_interest(token);
-            }
+    /// The connections that were established since the last call, in that order. Their owners decide what is written
+    /// first, once all else of the turn is known; [`SocketReactor::flush`] then writes it.
+    pub fn take_connected(&mut self) -> Vec<ConnectedSocket> {
+        let sockets = &self.sockets;
+        let connected = std::mem::take(&mut self.connected).into_iter();
+        connected
+            .filter_map(|token| Some(ConnectedSocket { token, owner: sockets.get(token)?.owner }))
+            .collect()
+    }
+
+    /// Writes what waits on a connection, as far as the peer takes it.
+    pub fn flush(&mut self, token: Token) {
+        let is_writable = |socket: &Socket| socket.state == SocketState::Open || socket.is_lingering();
+        if self.sockets.get(token).is_some_and(is_writable) {
+            self.flush_output(token);
+            self.update_interest(token);
         }
     }
 
--- a/src/net/event.rs
+++ b/src/net/event.rs
@@ -52,3 +52,12 @@
     /// What happened.
     pub kind: SocketEventKind,
 }
+
+/// A connection that has been established.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectedSocket {
+    /// The socket.
+    pub token: Token,
+    /// Who opened it.
+    pub owner: SocketOwner,
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -38,7 +38,7 @@
 mod watch_retry;
 
 pub use connect_error::ConnectError;
-pub use event::{SocketEvent, SocketEventKind, SocketOwner};
+pub use event::{ConnectedSocket, SocketEvent, SocketEventKind, SocketOwner};
 pub use listener::ListeningSocket;
 pub use reactor::SocketReactor;
 pub use slab::Token;
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -48,7 +48,7 @@
     pub(super) refused_watches: Vec<Token>,
     /// Connections that rest for want of kernel memory, by the end of the pause.
     pub(super) paused_transfers: VecDeque<SocketDeadline>,
-    /// Connections established since the last [`SocketReactor::flush_connected`].
+    /// Connections established since the last [`SocketReactor::take_connected`].
     pub(super) connected: Vec<Token>,
     /// The time of the last poll.
     pub(super) now: Nanos,
@@ -190,7 +190,7 @@
     // ---- Opening -------------------------------------------------------------------------------
 
     /// Starts a connection. What is sent meanwhile is written once it is established
-    /// ([`SocketReactor::flush_connected`]).
+    /// ([`SocketReactor::take_connected`]).
     ///
     /// # Errors
     /// Where there is no descriptor, or the system refuses at once.
--- a/src/net/system/tests.rs
+++ b/src/net/system/tests.rs
@@ -28,7 +28,7 @@
 fn wait_for(net: &mut SocketReactor, wanted: impl Fn(SocketEventKind) -> bool) -> Token {
     for turn in 0..MAX_TURNS {
         let events = net.poll(turn * TURN, TURN).expect("a turn");
-        net.flush_connected();
+        flush_connected(net);
         if let Some(event) = events.iter().find(|event| wanted(event.kind)) {
             return event.token;
         }
@@ -36,6 +36,12 @@
     panic!("no such event; all planned faults happened: {}", all_happened())
 }
 
+fn flush_connected(net: &mut SocketReactor) {
+    for connected in net.take_connected() {
+        net.flush(connected.token);
+    }
+}
+
 fn accepted_client(net: &mut SocketReactor, addr: SocketAddr) -> (TcpStream, Token) {
     let client = TcpStream::connect(addr).expect("it listens");
     client.set_read_timeout(Some(IO_TIMEOUT)).expect("a time-out");
@@ -159,7 +165,7 @@
     let (mut peer, _) = server.accept().expect("it connects");
     for turn in 0..4 {
         net.poll(turn, TURN).expect("a turn");
-        net.flush_connected();
+        flush_connected(&mut net);
     }
     let mut received = [0; 5];
     peer.read_exact(&mut received).expect("the line");
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -79,6 +79,9 @@
 
     /// An attempt's time is up; it may have ended before.
     pub(super) fn on_attempt_timeout(&mut self, request_id: RequestId, attempt: u32) {
+        let Some(front) = self.state.requests.front_of_attempt(request_id, attempt) else { return };
+        self.with_front(front, |front, ctx| front.read_answer(ctx, request_id));
+        // An answer that had arrived has ended the attempt.
         if let Some(front) = self.state.requests.front_of_attempt(request_id, attempt) {
             let outcome = self.cancel_attempt(front, request_id);
             self.state.requests.on_attempt_ended(self.state.clock.now(), request_id, outcome);
--- a/src/node/endpoint_events.rs
+++ b/src/node/endpoint_events.rs
@@ -14,13 +14,19 @@
         }
     }
 
-    /// Moves the watch to the configured address, after what the old one has sent.
-    pub(super) fn change_discovery_address(&mut self) {
+    /// Handles what has already arrived on the watch.
+    pub(super) fn read_pending_endpoint_events(&mut self) {
         let now = self.state.now();
         let pending = self.discovery.read_pending(now, &mut self.state.net, &mut self.state.registry);
         for event in pending {
             self.on_endpoint_event(event);
         }
+    }
+
+    /// Moves the watch to the configured address, after what the old one has sent.
+    pub(super) fn change_discovery_address(&mut self) {
+        let now = self.state.now();
+        self.read_pending_endpoint_events();
         let address = self.state.config.discovery;
         let (net, registry) = (&mut self.state.net, &mut self.state.registry);
         if let Some(event) = self.discovery.change_address(now, net, registry, address) {
--- a/src/node/event_loop.rs
+++ b/src/node/event_loop.rs
@@ -3,7 +3,8 @@
 use super::{Node, ServeError};
 use crate::front::TimerEvent;
 use crate::log;
-use crate::net::{SocketEvent, SocketOwner};
+use crate::net::{ConnectedSocket, SocketEvent, SocketOwner};
+use crate::rules::Violation;
 use crate::vocabulary::{Event, Nanos};
 
 /// How often silent peers are looked for and flows exported.
@@ -24,13 +25,14 @@
             }
             self.run_balancer();
             self.transfer_connections();
-            self.state.net.flush_connected();
+            self.send_on_connected();
             self.print_trace();
             if self.should_exit() {
                 self.settle_before_exit();
             }
             // What was settled may still have to be read by its peer.
             if self.should_exit() {
+                self.check_exit();
                 self.export_flows(self.state.now());
                 self.print_counters();
                 log::line(format_args!("stopped"));
@@ -52,6 +54,23 @@
         }
     }
 
+    /// Writes to the connections that were established in this turn. Before that the list's watch is read once more: the
+    /// process may have been held up since it polled, and a drain that was told meanwhile counts.
+    fn send_on_connected(&mut self) {
+        let connected = self.state.net.take_connected();
+        if connected.is_empty() {
+            return;
+        }
+        self.read_pending_endpoint_events();
+        for ConnectedSocket { token, owner } in connected {
+            if let SocketOwner::Front(id) = owner {
+                self.with_front(id, |front, ctx| front.on_connected(ctx, token));
+            }
+            self.state.net.flush(token);
+        }
+        self.run_balancer();
+    }
+
     fn on_timer(&mut self, timer: TimerEvent) {
         match timer {
             TimerEvent::Policy(token) => self.state.requests.push_event(Event::Timer(token)),
@@ -86,6 +105,15 @@
         self.state.wheel.schedule(now + TICK_INTERVAL, TimerEvent::Tick);
     }
 
+    /// Nothing is open when the process ends.
+    fn check_exit(&mut self) {
+        if !self.state.requests.is_idle() || !self.fronts.are_idle() {
+            let established = self.state.requests.established().len();
+            let detail = format_args!("standing={established}");
+            self.state.requests.violations.record(Violation::OpenAtExit, detail);
+        }
+    }
+
     fn should_exit(&self) -> bool {
         if !self.state.lifecycle.is_shutting_down() {
             return false;
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -24,7 +24,9 @@
 
     /// Prints the node's counters, those of the lease protocol and those of the fronts.
     pub(super) fn print_counters(&mut self) {
+        let violations = self.state.requests.violations.count();
         let counters = &mut self.state.requests.counters;
+        counters.invariant_violations = violations;
         counters.discovery_polls = self.discovery.watch_requests;
         counters.stale_lists = self.state.registry.stale_lists;
         if let Some(calls) = self.admin.as_ref().map(AdminServer::counts) {
--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -10,6 +10,7 @@
 use crate::random::{mix64, uniform_up_to, Rng};
 use crate::resilience::{request_backoff_limit, EndpointSubscription, FillTarget, FleetLimits, SlowStart};
 use crate::resilience::{Admission, RetryAdmission};
+use crate::rules::{self, RepeatFacts, RepeatRefusal};
 use crate::vocabulary::{Action, Arrival, Endpoint, Event, ListKind, Nanos, Outcome};
 use crate::vocabulary::{RequestId, ServerId, Settings, SettingsError};
 
@@ -29,6 +30,8 @@
     last_selection_at: Nanos,
     /// The actions of the event that is handled now.
     actions: Vec<Action>,
+    /// Why requests got their final answer in the event that was handled last.
+    pub(crate) refusals: Vec<(RequestId, RepeatRefusal)>,
 }
 
 impl Balancer {
@@ -48,6 +51,7 @@
             subscription: EndpointSubscription::default(),
             last_selection_at: 0,
             actions: Vec::new(),
+            refusals: Vec::new(),
         })
     }
 
@@ -76,6 +80,7 @@
     pub fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Action>) {
         self.now = now;
         self.actions.clear();
+        self.refusals.clear();
         if self.last_selection_at == 0 {
             self.last_selection_at = now;
         }
@@ -210,11 +215,13 @@
     /// Starts the next attempt. Backs off if none may start now; gives the final answer if none may at all.
     fn place(&mut self, id: RequestId) {
         let Some(request) = self.requests.get(&id) else { return };
-        if !self.may_attempt(request) {
-            return self.give_up(id);
+        if let Err(refusal) = self.may_attempt(request) {
+            return self.give_up(id, refusal);
         }
         let attempts_left = u64::from(self.settings.max_attempts - request.attempts.count());
         let timeout = ((request.deadline - self.now) / attempts_left).max(1);
+        let window_end = request.attempts.dedup_window_end(&self.settings.classes[request.class]);
+        let send_by = rules::send_by(request.deadline, window_end);
         let is_retry = request.client_retry || request.attempts.count() > 0;
         let is_queued = self.admission.decide(self.now, is_retry, request.queued) == Admission::Queued;
         let selected = if is_queued { None } else { self.select(request) };
@@ -229,21 +236,20 @@
         self.servers.reserve(server, id, request.group, self.now);
         let pause = uniform_up_to(self.rng.next_u64(), 2 * self.setup_interval());
         self.admission.on_sent(self.now.saturating_add(pause));
-        self.actions.push(Action::StartAttempt { id, server, timeout });
+        self.actions.push(Action::StartAttempt { id, server, timeout, send_by });
     }
 
-    fn may_attempt(&self, request: &Request) -> bool {
+    fn may_attempt(&self, request: &Request) -> Result<(), RepeatRefusal> {
+        let (now, deadline, attempts) = (self.now, request.deadline, &request.attempts);
+        let misses_turn =
+            request.queued && self.admission.misses_deadline(now, self.setup_interval(), deadline);
         let class = &self.settings.classes[request.class];
-        let misses_deadline = request.queued
-            && self.admission.misses_deadline(self.now, self.setup_interval(), request.deadline);
-        self.now < request.deadline
-            && !misses_deadline
-            && request.attempts.count() < self.settings.max_attempts
-            && request.attempts.may_repeat(class, self.now, self.settings.dial_timeout)
+        rules::may_repeat(&RepeatFacts { now, deadline, attempts, class, misses_turn }, &self.settings)
     }
 
     /// Gives the one final answer: a rejection where a retry by the client is safe, a failure otherwise.
-    fn give_up(&mut self, id: RequestId) {
+    fn give_up(&mut self, id: RequestId, refusal: RepeatRefusal) {
+        self.refusals.push((id, refusal));
         let queue_delay = self.admission.queue_delay(self.setup_interval());
         let Some(request) = self.requests.remove(&id) else { return };
         self.admission.dequeue(request.queued);
--- a/src/requests/decide.rs
+++ b/src/requests/decide.rs
@@ -5,8 +5,16 @@
 use super::records::FlowResult;
 use super::table::{QuotaRejection, RequestTable};
 use crate::front_id::FrontId;
+use crate::log;
 use crate::vocabulary::{Action, Event, Nanos, Outcome, RequestId, ServerId};
 
+/// An attempt as the balancer wants it.
+struct AttemptPlan {
+    server: ServerId,
+    timeout: Nanos,
+    send_by: Nanos,
+}
+
 impl RequestTable {
     /// Passes all pending events to the balancer and returns the commands that follow, in order.
     pub fn decide(&mut self, now: Nanos) -> Vec<Command> {
@@ -15,6 +23,9 @@
         while !self.pending_events.is_empty() {
             for event in std::mem::take(&mut self.pending_events) {
                 self.balancer.handle(now, event, &mut actions);
+                for (id, refusal) in &self.balancer.refusals {
+                    log::trace(format_args!("trace given-up request={} reason={refusal}", id.0));
+                }
             }
             for action in actions.drain(..) {
                 commands.extend(self.apply(now, action));
@@ -39,7 +50,9 @@
 
     fn apply(&mut self, now: Nanos, action: Action) -> Option<Command> {
         match action {
-            Action::StartAttempt { id, server, timeout } => self.start_attempt(now, id, server, timeout),
+            Action::StartAttempt { id, server, timeout, send_by } => {
+                self.start_attempt(now, id, AttemptPlan { server, timeout, send_by })
+            }
             Action::CancelAttempt { id, .. } => {
                 let front = self.open.get(id)?.front;
                 self.on_attempt_ended(now, id, Outcome::Cancelled);
@@ -63,13 +76,8 @@
         }
     }
 
-    fn start_attempt(
-        &mut self,
-        now: Nanos,
-        id: RequestId,
-        server: ServerId,
-        timeout: Nanos,
-    ) -> Option<Command> {
+    fn start_attempt(&mut self, now: Nanos, id: RequestId, plan: AttemptPlan) -> Option<Command> {
+        let AttemptPlan { server, timeout, send_by } = plan;
         let waiting = self.open.get_mut(id).filter(|request| request.state == RequestState::NoAttempt);
         let Some(request) = waiting else {
             self.push_last_attempt_ended(id, server, Outcome::NotSent);
@@ -85,7 +93,7 @@
             }
         }
         request.attempts += 1;
-        let attempt = Attempt { server, sent_at: now, number: request.attempts };
+        let attempt = Attempt { server, sent_at: now, number: request.attempts, send_by };
         request.state = RequestState::InFlight(attempt);
         self.counters.sent += 1;
         let timeout = timeout.min(request.deadline.saturating_sub(now));
--- a/src/requests/open_requests.rs
+++ b/src/requests/open_requests.rs
@@ -13,6 +13,8 @@
     pub sent_at: Nanos,
     /// Its number within the request, from one.
     pub number: u32,
+    /// The request is not to be written to the server from this time on.
+    pub send_by: Nanos,
 }
 
 /// The state of a request between its arrival and its end.
@@ -46,6 +48,14 @@
 }
 
 impl Request {
+    /// Its attempt, while one is in flight.
+    pub fn attempt_in_flight(&self) -> Option<Attempt> {
+        match self.state {
+            RequestState::InFlight(attempt) => Some(attempt),
+            RequestState::NoAttempt | RequestState::Established(_) => None,
+        }
+    }
+
     /// Whether its connection is established.
     pub fn is_established(&self) -> bool {
         matches!(self.state, RequestState::Established(_))
--- a/src/requests/table.rs
+++ b/src/requests/table.rs
@@ -7,6 +7,7 @@
 use crate::front_id::FrontId;
 use crate::policy::Balancer;
 use crate::quota::QuotaAdmission;
+use crate::rules::{self, SendFacts, SendRefusal, ViolationLog};
 use crate::vocabulary::{Arrival, Event, Nanos, Outcome, RequestId, ServerId, Settings, SettingsError};
 
 /// An established connection that the process before this one handed over.
@@ -43,6 +44,8 @@
     pub ended_flows: RecordBuffer<FlowRecord>,
     /// Counts since the start of the process.
     pub counters: Counters,
+    /// Rules that were broken, which is a fault of this program.
+    pub violations: ViolationLog,
     /// Steps of attempts, where they are traced.
     pub attempt_trace: RecordBuffer<AttemptRecord>,
 }
@@ -62,6 +65,7 @@
             quota_rejections: Vec::new(),
             ended_flows: RecordBuffer::new(),
             counters: Counters::default(),
+            violations: ViolationLog::default(),
             attempt_trace: RecordBuffer::new(),
         })
     }
@@ -156,6 +160,24 @@
         Some(request.started_at)
     }
 
+    /// Whether the attempt in flight may be written to its server now. A front asks right before the first byte, with
+    /// what its sockets say at that moment.
+    ///
+    /// # Errors
+    /// Why not; the front then reports the attempt as [`Outcome::NotSent`].
+    pub fn may_send(
+        &self,
+        now: Nanos,
+        id: RequestId,
+        client_gone: bool,
+        server_ready: bool,
+    ) -> Result<(), SendRefusal> {
+        let attempt = self.open.get(id).and_then(Request::attempt_in_flight);
+        let send_by = attempt.map_or(0, |attempt| attempt.send_by);
+        let is_current_attempt = attempt.is_some();
+        rules::may_send(&SendFacts { now, client_gone, server_ready, is_current_attempt, send_by })
+    }
+
     /// The attempt in flight was accepted: its connection is established and the client has its answer.
     pub fn on_established(&mut self, now: Nanos, id: RequestId) {
         let Some(request) = self.open.get_mut(id) else { return };
--- a/src/resilience/retry_safety.rs
+++ b/src/resilience/retry_safety.rs
@@ -82,6 +82,12 @@
         }
     }
 
+    /// When servers no longer discard a repeat of what may have run; none where nothing is discarded.
+    pub fn dedup_window_end(&self, class: &RequestClass) -> Option<Nanos> {
+        let run = self.first_possible_run.filter(|_| class.effect == Effect::IdempotencyKey)?;
+        Some(run.sent_at.saturating_add(class.dedup_window))
+    }
+
     /// Whether a retry by the client, which may go to any server, can do no harm.
     pub fn may_reject(&self, class: &RequestClass) -> bool {
         match (class.effect, self.first_possible_run) {
--- /dev/null
+++ b/src/rules/close.rs
@@ -0,0 +1,30 @@
+//! What must be true when a client's connection is closed.
+
+use super::Violation;
+
+/// What is known of a client's connection that this node ends.
+#[derive(Clone, Copy, Debug)]
+pub struct CloseFacts {
+    /// Its request has been read.
+    pub has_request: bool,
+    /// The request's final answer has been written.
+    pub is_answered: bool,
+    /// The request's session was established: its end needs `MOVE`, or the end of one side.
+    pub is_established: bool,
+    /// The client was told to come again, or one of the two sides had ended.
+    pub is_announced: bool,
+}
+
+/// Checks a close.
+///
+/// # Errors
+/// The rule that it breaks.
+pub fn check_close(facts: &CloseFacts) -> Result<(), Violation> {
+    if facts.has_request && !facts.is_answered {
+        return Err(Violation::ClosedUnanswered);
+    }
+    if facts.is_established && !facts.is_announced {
+        return Err(Violation::CutOff);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/rules/mod.rs
@@ -0,0 +1,26 @@
+//! The rules of the protocol page at the moments at which a node could break them: whether something may be started,
+//! sent, repeated or closed now.
+//!
+//! Each question has its facts as a struct and its reasons for "no" as an enum. Whoever writes to a server, repeats an
+//! attempt, takes a request on or closes a client's connection asks here; nothing here has a clock, I/O or state. What
+//! must never happen at all is counted by a [`ViolationLog`], and each [`Violation`] is logged with its ids.
+
+mod close;
+mod repeat;
+mod send;
+mod start;
+#[cfg(test)]
+mod tests;
+mod violation;
+
+pub use close::{check_close, CloseFacts};
+pub use repeat::{may_repeat, RepeatFacts, RepeatRefusal};
+pub use send::{may_send, send_by, SendFacts, SendRefusal};
+pub use start::{may_start, StartFacts, StartRefusal};
+pub use violation::{Violation, ViolationLog};
+
+use crate::vocabulary::Nanos;
+
+/// A process may be held up for this long between the reading of its clock and a write. A time limit within which a
+/// write has to take place is kept with that much to spare.
+pub const MAX_HOLD_UP: Nanos = 150_000_000;
--- /dev/null
+++ b/src/rules/tests.rs
@@ -0,0 +1,120 @@
+//! Each question has one reason for "no" at a time, and the first one counts.
+
+use super::*;
+use crate::resilience::AttemptHistory;
+use crate::vocabulary::{DedupScope, Effect, Outcome, RequestClass, ServerId, Settings};
+use rstest::rstest;
+
+const MILLISECOND: Nanos = 1_000_000;
+
+fn send_facts() -> SendFacts {
+    SendFacts { now: 10, client_gone: false, server_ready: true, is_current_attempt: true, send_by: 11 }
+}
+
+#[rstest]
+#[case(send_facts(), Ok(()))]
+#[case(SendFacts { client_gone: true, server_ready: false, ..send_facts() }, Err(SendRefusal::ClientGone))]
+#[case(SendFacts { is_current_attempt: false, ..send_facts() }, Err(SendRefusal::NotCurrent))]
+#[case(SendFacts { server_ready: false, ..send_facts() }, Err(SendRefusal::ServerNotReady))]
+#[case(SendFacts { now: 11, ..send_facts() }, Err(SendRefusal::TooLate))]
+fn a_request_is_sent_for_a_client_that_waits_to_a_server_that_is_ready_in_time(
+    #[case] facts: SendFacts,
+    #[case] expected: Result<(), SendRefusal>,
+) {
+    assert_eq!(may_send(&facts), expected);
+}
+
+#[rstest]
+#[case(None, 1_200)]
+#[case(Some(900), 750)]
+#[case(Some(5_000), 1_200)]
+#[case(Some(100), 0)]
+fn a_hold_up_does_not_carry_a_repeat_past_its_window(#[case] window_end_ms: Option<u64>, #[case] by_ms: u64) {
+    let window_end = window_end_ms.map(|ms| ms * MILLISECOND);
+    assert_eq!(send_by(1_200 * MILLISECOND, window_end), by_ms * MILLISECOND);
+}
+
+fn start_facts() -> StartFacts {
+    StartFacts {
+        is_closing: false,
+        is_restored: false,
+        has_more_input: false,
+        is_duplicate_id: false,
+        has_descriptor: true,
+    }
+}
+
+#[rstest]
+#[case(start_facts(), Ok(()))]
+#[case(StartFacts { has_more_input: true, is_duplicate_id: true, ..start_facts() }, Err(StartRefusal::MoreInput))]
+#[case(StartFacts { is_duplicate_id: true, ..start_facts() }, Err(StartRefusal::DuplicateId))]
+#[case(StartFacts { is_closing: true, ..start_facts() }, Err(StartRefusal::Closing))]
+#[case(StartFacts { is_closing: true, is_restored: true, ..start_facts() }, Ok(()))]
+#[case(StartFacts { has_descriptor: false, ..start_facts() }, Err(StartRefusal::NoDescriptor))]
+fn a_request_is_taken_on_where_it_can_be_answered(
+    #[case] facts: StartFacts,
+    #[case] expected: Result<(), StartRefusal>,
+) {
+    assert_eq!(may_start(&facts), expected);
+}
+
+#[rstest]
+#[case(false, false, false, false, Ok(()))]
+#[case(true, false, false, false, Err(Violation::ClosedUnanswered))]
+#[case(true, true, false, false, Ok(()))]
+#[case(true, true, true, false, Err(Violation::CutOff))]
+#[case(true, true, true, true, Ok(()))]
+fn a_connection_is_closed_with_its_answer_and_its_announcement(
+    #[case] has_request: bool,
+    #[case] is_answered: bool,
+    #[case] is_established: bool,
+    #[case] is_announced: bool,
+    #[case] expected: Result<(), Violation>,
+) {
+    let facts = CloseFacts { has_request, is_answered, is_established, is_announced };
+    assert_eq!(check_close(&facts), expected);
+}
+
+#[rstest]
+#[case::at_once(0, 0, false, Ok(()))]
+#[case::deadline(1_200, 0, false, Err(RepeatRefusal::DeadlinePassed))]
+#[case::turn(0, 0, true, Err(RepeatRefusal::TurnTooLate))]
+#[case::used(0, 3, false, Err(RepeatRefusal::AttemptsUsed))]
+#[case::may_have_run(0, 1, false, Err(RepeatRefusal::MayHaveRun))]
+fn a_request_is_repeated_in_time_and_where_nothing_may_run_twice(
+    #[case] now_ms: u64,
+    #[case] attempts_so_far: u32,
+    #[case] misses_turn: bool,
+    #[case] expected: Result<(), RepeatRefusal>,
+) {
+    let mut attempts = AttemptHistory::default();
+    for number in 0..attempts_so_far {
+        attempts.on_sent(ServerId(number), 0);
+        attempts.on_ended(ServerId(number), Outcome::Timeout);
+    }
+    let class = RequestClass {
+        objective: 1,
+        hard_limit: 1,
+        effect: Effect::NonIdempotent,
+        dedup_scope: DedupScope::All,
+        dedup_window: 0,
+        priority_weight: 1.0,
+        message_latency_objective: None,
+    };
+    let facts = RepeatFacts {
+        now: now_ms * MILLISECOND,
+        deadline: 1_200 * MILLISECOND,
+        attempts: &attempts,
+        class: &class,
+        misses_turn,
+    };
+    let settings = Settings { max_attempts: 3, ..Settings::default() };
+    assert_eq!(may_repeat(&facts, &settings), expected);
+}
+
+#[test]
+fn violations_are_counted() {
+    let mut violations = ViolationLog::default();
+    violations.record(Violation::CutOff, format_args!("request=1"));
+    assert_eq!(violations.count(), 1);
+}
--- a/src/simulator/instance.rs
+++ b/src/simulator/instance.rs
@@ -144,7 +144,7 @@
 
     fn action_document(&self, action: Action) -> ActionDocument {
         match action {
-            Action::StartAttempt { id, server, timeout } => ActionDocument::StartAttempt {
+            Action::StartAttempt { id, server, timeout, .. } => ActionDocument::StartAttempt {
                 request_id: id.0,
                 server: self.server_name(server),
                 give_up_after_ns: timeout,
--- a/src/vocabulary/action.rs
+++ b/src/vocabulary/action.rs
@@ -13,6 +13,8 @@
         server: ServerId,
         /// The attempt fails if it has not succeeded after this time.
         timeout: Nanos,
+        /// The request is not to be written to the server from this time on.
+        send_by: Nanos,
     },
     /// Cancel an attempt in flight.
     CancelAttempt {
--- a/tests/policy_rules/invalid_input.rs
+++ b/tests/policy_rules/invalid_input.rs
@@ -52,3 +52,24 @@
     let many = Node::new(1, settings(), serving_endpoints(5000)).request(1, 0);
     assert!(attempted_server(&many).is_some());
 }
+
+/// Every way in which an attempt ends is harmless at a server that no list has named.
+#[test]
+fn an_attempt_that_ends_at_a_server_that_was_never_listed_is_harmless() {
+    let outcomes = [
+        Outcome::Error,
+        Outcome::Rejected,
+        Outcome::Timeout,
+        Outcome::ConnectFailed,
+        Outcome::Reset,
+        Outcome::Cancelled,
+        Outcome::NotSent,
+        Outcome::LocalShortage,
+    ];
+    for outcome in outcomes {
+        let mut node = Node::new(1, settings(), serving_endpoints(3));
+        attempted_server(&node.request(1, 0)).expect("placed");
+        node.end_attempt(1, ServerId(99), outcome);
+        assert!(attempted_server(&node.request(2, 0)).is_some(), "{outcome:?}");
+    }
+}
--- a/tests/policy_rules/large_fleet.rs
+++ b/tests/policy_rules/large_fleet.rs
@@ -17,7 +17,7 @@
         for action in actions {
             match action {
                 Action::SetTimer { after, token } => due.push(Reverse((now + after, token, u32::MAX))),
-                Action::StartAttempt { id, server, timeout } => {
+                Action::StartAttempt { id, server, timeout, .. } => {
                     sent.push(now);
                     due.push(Reverse((now + time_to_fail.min(timeout), id.0, server.0)));
                 }
--- a/tests/properties/simulation.rs
+++ b/tests/properties/simulation.rs
@@ -142,7 +142,7 @@
 
     fn check(&mut self, action: &Action) {
         match action {
-            Action::StartAttempt { id, server, timeout } => self.check_attempt(*id, *server, *timeout),
+            Action::StartAttempt { id, server, timeout, .. } => self.check_attempt(*id, *server, *timeout),
             Action::Reject { id, .. } => self.check_final_answer(*id, true),
             Action::Fail(id) => self.check_final_answer(*id, false),
             Action::Migrate(id) => {
