Have an attempt's end at an unlisted server change nothing instead of panicking

Cause: record_outcome looked the server up with ServerSet::get, which panics, where an attempt that is not established ends with Reset; the other arms used health_mut. Change: one lookup for all arms.

--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -299,20 +299,14 @@
     }
 
     fn record_outcome(&mut self, server: ServerId, outcome: Outcome, was_established: bool) {
+        let Some(health) = self.servers.health_mut(server) else { return };
         match outcome {
-            Outcome::Ok => self.on_success(server),
-            Outcome::Reset if was_established => {
-                if let Some(health) = self.servers.health_mut(server) {
-                    health.on_reset(self.now);
-                }
-            }
-            Outcome::Reset if !self.servers.get(server).health.is_unconfirmed() => {}
+            Outcome::Ok => health.on_success(),
+            Outcome::Reset if was_established => health.on_reset(self.now),
+            Outcome::Reset if !health.is_unconfirmed() => {}
             Outcome::Cancelled | Outcome::NotSent | Outcome::LocalShortage | Outcome::Rejected => {}
             Outcome::Reset | Outcome::Error | Outcome::Timeout | Outcome::ConnectFailed => {
-                let roll = self.rng.next_u64();
-                if let Some(health) = self.servers.health_mut(server) {
-                    health.on_failure(self.now, roll, outcome == Outcome::Error);
-                }
+                health.on_failure(self.now, self.rng.next_u64(), outcome == Outcome::Error);
             }
         }
     }
