--- a/src/counters.rs
+++ b/src/counters.rs
@@ -70,6 +70,16 @@
     pub quota_migrated: u64,
     /// Rules of the protocol that this node broke. None is expected: each has a log line `invariant-violated`.
     pub invariant_violations: u64,
+    /// Pauses of the listeners because the system had no descriptor or no memory.
+    pub accept_pauses: u64,
+    /// Changes of the epoll set that the system refused and that were tried again.
+    pub refused_watches: u64,
+    /// Connections that rested because a read or write found no kernel memory.
+    pub transfer_pauses: u64,
+    /// Connections that could not be started for want of a descriptor, a port or memory.
+    pub failed_connects: u64,
+    /// Log lines that standard error did not take.
+    pub log_lines_dropped: u64,
     /// Admin calls that started a drain.
     pub drains: u64,
     /// Admin calls that ended a drain.
@@ -100,7 +110,7 @@
     }
 
     /// Every counter with its name, in the order of the log line.
-    fn entries(&self) -> [(&'static str, u64); 37] {
+    fn entries(&self) -> [(&'static str, u64); 42] {
         [
             ("requests", self.requests),
             ("resumed", self.resumed),
@@ -134,6 +144,11 @@
             ("quota_rejected", self.quota_rejected),
             ("quota_migrated", self.quota_migrated),
             ("invariant_violations", self.invariant_violations),
+            ("accept_pauses", self.accept_pauses),
+            ("refused_watches", self.refused_watches),
+            ("transfer_pauses", self.transfer_pauses),
+            ("failed_connects", self.failed_connects),
+            ("log_lines_dropped", self.log_lines_dropped),
             ("drains", self.drains),
             ("resumes", self.resumes),
             ("admin_accepted", self.admin_accepted),
--- a/src/front/text/client_side.rs
+++ b/src/front/text/client_side.rs
@@ -270,11 +270,23 @@
     /// Sends the final answer of a client that has none, and closes its connection.
     pub(super) fn answer_and_close(&mut self, ctx: &mut FrontContext, token: Token, answer: &[u8]) {
         self.record_answer(ctx, token);
+        self.trace_answer(token, answer);
         ctx.net.send(token, answer);
         self.remove_session(ctx, token);
         ctx.net.close(token);
     }
 
+    fn trace_answer(&self, client: Token, answer: &[u8]) {
+        if !crate::log::is_trace_enabled() {
+            return;
+        }
+        let session = self.sessions.get(&client);
+        let request = session.and_then(|session| session.request_id).map_or(0, |request_id| request_id.0);
+        let id = session.map_or("-", |session| session.open.id.as_str());
+        let answer = String::from_utf8_lossy(answer.trim_ascii_end());
+        crate::log::line(format_args!("trace answer request={request} id={id} answer={answer}"));
+    }
+
     /// A client gets its final answer, or is told to come again once its session is established.
     fn record_answer(&mut self, ctx: &mut FrontContext, client: Token) {
         let Some(session) = self.sessions.get_mut(&client) else { return };
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -216,6 +216,7 @@
     /// The listeners stay readable: watched, they would keep the loop from sleeping.
     fn pause_accepting(&mut self) {
         self.accept_paused_until = Some(self.now + ACCEPT_PAUSE);
+        self.shortages.accept_pauses += 1;
         crate::log::line(format_args!("accept-rests open={}", self.sockets.len()));
         self.watch_listeners(Interest::empty());
     }
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -26,6 +26,19 @@
     pub(super) token: Token,
 }
 
+/// How often the system was short of something, since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ShortageCounts {
+    /// Pauses of the listeners.
+    pub accept_pauses: u64,
+    /// Changes of the epoll set that were refused.
+    pub refused_watches: u64,
+    /// Connections that rested because a read or write found no kernel memory.
+    pub transfer_pauses: u64,
+    /// Connections that could not be started for want of a descriptor, a port or memory.
+    pub failed_connects: u64,
+}
+
 /// All sockets of the node. See the [module](super) for how the concerns are divided.
 pub struct SocketReactor {
     pub(super) poller: Poller,
@@ -48,6 +61,8 @@
     pub(super) refused_watches: Vec<Token>,
     /// Connections that rest for want of kernel memory, by the end of the pause.
     pub(super) paused_transfers: VecDeque<SocketDeadline>,
+    /// How often the system was short of something.
+    pub(super) shortages: ShortageCounts,
     /// Connections established since the last [`SocketReactor::take_connected`].
     pub(super) connected: Vec<Token>,
     /// The time of the last poll.
@@ -74,6 +89,7 @@
             pending_events: Vec::new(),
             refused_watches: Vec::new(),
             paused_transfers: VecDeque::new(),
+            shortages: ShortageCounts::default(),
             connected: Vec::new(),
             now: 0,
             read_chunk: vec![0; READ_CHUNK_BYTES],
@@ -195,6 +211,14 @@
     /// # Errors
     /// Where there is no descriptor, or the system refuses at once.
     pub fn connect(&mut self, addr: SocketAddr, owner: SocketOwner) -> Result<Token, ConnectError> {
+        let connecting = self.start_connect(addr, owner);
+        if let Err(ConnectError::Shortage(_)) = connecting {
+            self.shortages.failed_connects += 1;
+        }
+        connecting
+    }
+
+    fn start_connect(&mut self, addr: SocketAddr, owner: SocketOwner) -> Result<Token, ConnectError> {
         let fd = loop {
             match system::stream_socket(addr) {
                 // The system gives fewer descriptors than the configuration says.
@@ -251,6 +275,7 @@
             Ok::<_, Errno>(socket)
         })?;
         if is_refused {
+            self.shortages.refused_watches += 1;
             self.refused_watches.push(token);
         }
         Ok(token)
@@ -287,6 +312,11 @@
         }
     }
 
+    /// How often the system was short of something.
+    pub fn shortages(&self) -> ShortageCounts {
+        self.shortages
+    }
+
     // ---- Queries -------------------------------------------------------------------------------
 
     /// The descriptor of a raw socket.
--- a/src/net/transfer_pause.rs
+++ b/src/net/transfer_pause.rs
@@ -19,6 +19,7 @@
     pub(super) fn pause_transfer(&mut self, token: Token) {
         let Some(socket) = self.sockets.get_mut(token) else { return };
         if !std::mem::replace(&mut socket.is_paused, true) {
+            self.shortages.transfer_pauses += 1;
             self.paused_transfers.push_back(SocketDeadline { at: self.now + TRANSFER_PAUSE, token });
         }
         self.update_interest(token);
--- a/src/net/watch_retry.rs
+++ b/src/net/watch_retry.rs
@@ -36,6 +36,7 @@
         }
         if self.poller.modify(&socket.fd, token, interest).is_err() {
             socket.watch = WatchState::ChangeRefused;
+            self.shortages.refused_watches += 1;
             self.refused_watches.push(token);
         }
     }
--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -51,6 +51,7 @@
             }
             Command::SetTimer { after: 0, token } => self.state.requests.push_event(Event::Timer(token)),
             Command::SetTimer { after, token } => {
+                log::trace(format_args!("trace timer token={token} ms={}", after / 1_000_000));
                 self.state.wheel.schedule(now + after, TimerEvent::Policy(token));
             }
             Command::Subscribe => self.subscribe(now),
@@ -67,6 +68,11 @@
         timeout: Nanos,
     ) {
         let attempt = self.state.requests.attempt_number(request_id);
+        let (request, ms) = (request_id.0, timeout / 1_000_000);
+        log::trace(format_args!(
+            "trace attempt request={request} number={attempt} server={} ms={ms}",
+            server.0
+        ));
         self.state.wheel.schedule(now + timeout, TimerEvent::AttemptTimeout(request_id, attempt));
         self.with_front(front, |front, ctx| front.start_attempt(ctx, request_id, server, timeout));
     }
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -27,6 +27,12 @@
         let violations = self.state.requests.violations.count();
         let counters = &mut self.state.requests.counters;
         counters.invariant_violations = violations;
+        let shortages = self.state.net.shortages();
+        counters.accept_pauses = shortages.accept_pauses;
+        counters.refused_watches = shortages.refused_watches;
+        counters.transfer_pauses = shortages.transfer_pauses;
+        counters.failed_connects = shortages.failed_connects;
+        counters.log_lines_dropped = log::dropped_lines();
         counters.discovery_polls = self.discovery.watch_requests;
         counters.stale_lists = self.state.registry.stale_lists;
         if let Some(calls) = self.admin.as_ref().map(AdminServer::counts) {
