--- /dev/null
+++ b/crates/soak/src/client.rs
@@ -0,0 +1,285 @@
+//! Simulated clients: ordinary ones, and such as leave early, flood, rest or stop in the middle of a line.
+
+use crate::judge::{Answer, Class, Judge, DEADLINE};
+use crate::node::Nodes;
+use crate::server::{reset_on_drop, Servers, SessionEnd};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout, Instant};
+
+/// An answer later than this does not come.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(4_500);
+/// A bad client gets its answer or its close within this.
+const BAD_CLIENT_TIMEOUT: Duration = Duration::from_millis(3_050);
+/// A server's end reaches its client within this.
+const END_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// A line is held back no longer than this.
+const LINE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// A silent server is left within this.
+const SILENT_TIMEOUT: Duration = Duration::from_millis(7_000);
+const LINE_INTERVAL: Duration = Duration::from_millis(250);
+/// The longest session.
+const MAX_SESSION_MS: u64 = 2_500;
+/// A client that stalls does not read for this long.
+const STALL: Duration = Duration::from_millis(600);
+
+/// What the clients do besides ordinary requests.
+#[derive(Default)]
+pub struct Behaviour {
+    /// They leave while their requests wait.
+    pub leave: Cell<bool>,
+    /// They send many lines at once.
+    pub flood: Cell<bool>,
+    /// They rest.
+    pub idle: Cell<bool>,
+    /// They send half a line.
+    pub half_line: Cell<bool>,
+    /// They come no more.
+    pub stopped: Cell<bool>,
+}
+
+/// One client, which sends request after request.
+pub struct Client {
+    /// The judge.
+    pub judge: Rc<RefCell<Judge>>,
+    /// The nodes that it is spread over.
+    pub nodes: Nodes,
+    /// The servers, which know how sessions were ended.
+    pub servers: Servers,
+    /// What it does.
+    pub behaviour: Rc<Behaviour>,
+    /// Its number.
+    pub number: u64,
+    rng: Pcg64Mcg,
+    requests: u64,
+}
+
+impl Client {
+    /// A client with this number.
+    pub fn new(
+        judge: &Rc<RefCell<Judge>>,
+        nodes: &Nodes,
+        servers: &Servers,
+        behaviour: &Rc<Behaviour>,
+        number: u64,
+        seed: u64,
+    ) -> Client {
+        Client {
+            judge: judge.clone(),
+            nodes: nodes.clone(),
+            servers: servers.clone(),
+            behaviour: behaviour.clone(),
+            number,
+            rng: Pcg64Mcg::seed_from_u64(seed ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+            requests: 0,
+        }
+    }
+
+    /// Sends requests until the clients are stopped.
+    pub async fn run(mut self) {
+        while !self.behaviour.stopped.get() {
+            sleep(Duration::from_millis(self.rng.random_range(5..120))).await;
+            let Some(node) = self.nodes.draw_accepting(&mut self.rng) else { continue };
+            let Ok(stream) = TcpStream::connect(self.nodes.address(node)).await else { continue };
+            let _ = stream.set_nodelay(true);
+            let is_drawn = self.rng.random_bool(0.5);
+            if self.behaviour.idle.get() && is_drawn {
+                self.misbehave(node, stream, "").await;
+            } else if self.behaviour.half_line.get() && is_drawn {
+                self.misbehave(node, stream, "OPEN 9b1f 7f3a c=li").await;
+            } else if self.behaviour.flood.get() && is_drawn {
+                let line = "OPEN 9b1f 7f3a c=live,t=acme,d=1000,g=5c\r\n".repeat(100);
+                self.misbehave(node, stream, &line).await;
+            } else {
+                self.request(node, stream).await;
+            }
+        }
+    }
+
+    /// A client without a sound request gets an answer or a close in time.
+    async fn misbehave(&mut self, node: usize, mut stream: TcpStream, text: &str) {
+        let incarnation = self.judge.borrow().incarnation(node);
+        let connected_at = Instant::now();
+        if stream.write_all(text.as_bytes()).await.is_err() {
+            return;
+        }
+        let mut bytes = [0; 64];
+        let limit = BAD_CLIENT_TIMEOUT + Duration::from_secs(2);
+        while timeout(limit, stream.read(&mut bytes))
+            .await
+            .is_ok_and(|read| read.is_ok_and(|count| count > 0))
+        {}
+        let waited = connected_at.elapsed();
+        let mut judge = self.judge.borrow_mut();
+        let allowed = BAD_CLIENT_TIMEOUT + self.nodes.stalled(node) + judge.lateness();
+        if waited > allowed && !judge.is_excused(node, incarnation) {
+            judge.report("bad-client", format!("node {node} left {:?} open for {waited:?}", text.get(..20)));
+        }
+    }
+
+    async fn request(&mut self, node: usize, stream: TcpStream) {
+        self.requests += 1;
+        let id = format!("{:x}", (self.number << 24) | self.requests);
+        let class = [Class::Live, Class::Live, Class::Keyed, Class::Once][self.rng.random_range(0..4)];
+        let line = format!(
+            "OPEN {id} {:x} c={},t=acme,d={},g=5c{:x}\r\n",
+            self.number,
+            class.name(),
+            DEADLINE.as_millis(),
+            self.number
+        );
+        let (read, mut write) = stream.into_split();
+        if !self.write_line(&mut write, &line).await {
+            return;
+        }
+        let sent_at = Instant::now();
+        self.judge.borrow_mut().on_request(&id, node, class, &line);
+        let mut read = BufReader::new(read);
+        if self.behaviour.leave.get() && self.rng.random_bool(0.7) {
+            return self.leave(&id, read, write).await;
+        }
+        let mut text = String::new();
+        let answer = match timeout(ANSWER_TIMEOUT, read.read_line(&mut text)).await {
+            Err(_) => return self.judge.borrow_mut().on_no_answer(&id, "no answer in 4.5 s"),
+            Ok(Ok(count)) if count > 0 && text.ends_with('\n') => match text.split([' ', '\r']).next() {
+                Some("UP") => Answer::Up,
+                Some("BUSY") => Answer::Busy,
+                _ => Answer::Failed,
+            },
+            Ok(ended) => {
+                let what = format!("the connection ended: {ended:?} {text:?} after {:?}", sent_at.elapsed());
+                return self.judge.borrow_mut().on_no_answer(&id, &what);
+            }
+        };
+        self.judge.borrow_mut().on_answer(&id, answer, sent_at.elapsed());
+        if answer == Answer::Up {
+            self.hold_session(node, &id, read, write).await;
+        } else if timeout(ANSWER_TIMEOUT, read.read_line(&mut text))
+            .await
+            .is_ok_and(|more| more.is_ok_and(|count| count > 0))
+        {
+            self.judge.borrow_mut().report("second-answer", format!("{id} got {text:?}"));
+        }
+    }
+
+    /// Writes a line, sometimes in two pieces.
+    async fn write_line(&mut self, write: &mut OwnedWriteHalf, line: &str) -> bool {
+        let cut = if self.rng.random_bool(0.2) { self.rng.random_range(1..line.len()) } else { line.len() };
+        if write.write_all(&line.as_bytes()[..cut]).await.is_err() {
+            return false;
+        }
+        if cut < line.len() {
+            sleep(Duration::from_millis(self.rng.random_range(0..40))).await;
+        }
+        write.write_all(&line.as_bytes()[cut..]).await.is_ok()
+    }
+
+    /// Leaves after a while, with an end or a reset.
+    async fn leave(&mut self, id: &str, read: BufReader<OwnedReadHalf>, write: OwnedWriteHalf) {
+        sleep(Duration::from_millis(self.rng.random_range(0..400))).await;
+        if self.rng.random_bool(0.5) {
+            reset_on_drop(write.as_ref());
+        }
+        self.judge.borrow_mut().on_client_gone(id);
+        drop((read, write));
+    }
+
+    /// Uses an established session until its lifetime is over or it is ended from the other side.
+    async fn hold_session(
+        &mut self,
+        node: usize,
+        id: &str,
+        mut read: BufReader<OwnedReadHalf>,
+        mut write: OwnedWriteHalf,
+    ) {
+        let incarnation = self.judge.borrow().incarnation(node);
+        let end = Instant::now() + Duration::from_millis(self.rng.random_range(50..MAX_SESSION_MS));
+        if self.rng.random_bool(0.1) {
+            sleep(STALL).await;
+        }
+        let mut lines = Lines::default();
+        while Instant::now() < end {
+            if write.write_all(b"M 1\r\n").await.is_err() {
+                break;
+            }
+            let written_at = Instant::now();
+            loop {
+                let wait = LINE_INTERVAL.saturating_sub(written_at.elapsed());
+                match timeout(wait, read.read_line(&mut lines.partial)).await {
+                    Err(_) => break,
+                    Ok(Ok(count)) if count > 0 => lines.take(),
+                    Ok(ended) => return self.check_end(node, incarnation, id, &lines, &format!("{ended:?}")),
+                }
+            }
+            self.check_progress(node, incarnation, id, &lines);
+        }
+        self.judge.borrow_mut().on_client_gone(id);
+    }
+
+    /// A session whose server has ended it is over for its client within a second.
+    fn check_progress(&self, node: usize, incarnation: u64, id: &str, lines: &Lines) {
+        let mut judge = self.judge.borrow_mut();
+        if judge.is_excused(node, incarnation) {
+            return;
+        }
+        let allowed = self.nodes.stalled(node) + judge.lateness();
+        if lines.last_at.elapsed() > SILENT_TIMEOUT + allowed {
+            judge.report("silent", format!("{id} at node {node}: no line for {:?}", lines.last_at.elapsed()));
+        }
+        let ended_at = self.servers.ended_at(id);
+        if let Some(ended_at) = ended_at.filter(|at| at.elapsed() > END_TIMEOUT + LINE_TIMEOUT + allowed) {
+            let elapsed = ended_at.elapsed();
+            judge.report("held", format!("{id} at node {node}: its server ended {elapsed:?} ago"));
+        }
+    }
+
+    /// A session ends with its server's end, or with `MOVE`.
+    fn check_end(&self, node: usize, incarnation: u64, id: &str, lines: &Lines, how: &str) {
+        let mut judge = self.judge.borrow_mut();
+        if judge.is_excused(node, incarnation) || lines.last == "MOVE" {
+            return;
+        }
+        let Some(ended) = self.servers.ended_session(id) else {
+            let last = &lines.last;
+            return judge
+                .report("cut-off", format!("{id} at node {node} ended without MOVE, {how}, last {last:?}"));
+        };
+        let is_short = ended.end != SessionEnd::Reset && (lines.burst < ended.lines || lines.last != "BYE");
+        if is_short {
+            let (got, sent) = (lines.burst, ended.lines);
+            judge.report(
+                "cut-off",
+                format!("{id} at node {node} got {got} of {sent} lines, last {:?}", lines.last),
+            );
+        }
+    }
+}
+
+/// What a session has received.
+struct Lines {
+    partial: String,
+    last: String,
+    last_at: Instant,
+    burst: usize,
+}
+
+impl Default for Lines {
+    fn default() -> Lines {
+        Lines { partial: String::new(), last: String::new(), last_at: Instant::now(), burst: 0 }
+    }
+}
+
+impl Lines {
+    /// A line is complete.
+    fn take(&mut self) {
+        self.last = std::mem::take(&mut self.partial).trim_end().to_string();
+        self.last_at = Instant::now();
+        self.burst += usize::from(self.last.starts_with("B "));
+    }
+}
--- /dev/null
+++ b/crates/soak/src/discovery.rs
@@ -0,0 +1,263 @@
+//! Simulated discovery. Each node has two addresses of its own here, so that what was told to whom is known.
+
+use crate::judge::Judge;
+use crate::server::{reset_on_drop, Servers};
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, sleep_until, Instant};
+
+/// While nothing changes, an empty line this often shows that a watch is alive.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(2);
+const CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// A change counts as told so long after discovery had it and could be reached.
+const TOLD_WITHIN: Duration = Duration::from_secs(6);
+
+/// What discovery does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// It serves watches.
+    Serves,
+    /// It resets every connection.
+    Down,
+    /// It answers 503.
+    Rejects,
+    /// It serves watches byte by byte.
+    Pieces,
+}
+
+struct State {
+    mode: Cell<Mode>,
+    generation: Cell<u64>,
+    /// By server: whether it is ready, and the generation of the change.
+    ready: RefCell<Vec<(bool, u64)>>,
+    /// Watches opened before this one are silent.
+    silent_before: Cell<u64>,
+    /// Watches opened before this one are reset.
+    reset_before: Cell<u64>,
+    last_watch: Cell<u64>,
+    /// Since when discovery can be reached without a pause.
+    reachable_since: Cell<Instant>,
+}
+
+/// Discovery, for all nodes.
+#[derive(Clone)]
+pub struct Discovery {
+    judge: Rc<RefCell<Judge>>,
+    servers: Servers,
+    state: Rc<State>,
+    /// By node, the address in use and the other one.
+    addresses: Rc<RefCell<Vec<[SocketAddr; 2]>>>,
+}
+
+impl Discovery {
+    /// Starts discovery for so many nodes.
+    pub async fn start(judge: &Rc<RefCell<Judge>>, servers: &Servers, nodes: usize) -> Discovery {
+        let state = State {
+            mode: Cell::new(Mode::Serves),
+            generation: Cell::new(1),
+            ready: RefCell::new(vec![(true, 1); servers.len()]),
+            silent_before: Cell::new(0),
+            reset_before: Cell::new(0),
+            last_watch: Cell::new(0),
+            reachable_since: Cell::new(Instant::now()),
+        };
+        let discovery = Discovery {
+            judge: judge.clone(),
+            servers: servers.clone(),
+            state: Rc::new(state),
+            addresses: Rc::default(),
+        };
+        for node in 0..nodes {
+            let own = [discovery.listen(node).await, discovery.listen(node).await];
+            discovery.addresses.borrow_mut().push(own);
+        }
+        discovery
+    }
+
+    async fn listen(&self, node: usize) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let discovery = self.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                spawn_local(discovery.clone().serve(node, stream));
+            }
+        });
+        address
+    }
+
+    /// Where a node finds discovery now.
+    pub fn address(&self, node: usize) -> SocketAddr {
+        self.addresses.borrow()[node][0]
+    }
+
+    /// Discovery is at its other addresses from now on.
+    pub fn move_addresses(&self) {
+        self.addresses.borrow_mut().iter_mut().for_each(|own| own.swap(0, 1));
+    }
+
+    /// Discovery behaves like this from now on.
+    pub fn set_mode(&self, mode: Mode) {
+        let was_reachable = matches!(self.state.mode.get(), Mode::Serves | Mode::Pieces);
+        self.state.mode.set(mode);
+        if !was_reachable {
+            self.state.reachable_since.set(Instant::now());
+        }
+    }
+
+    /// Open watches fall silent.
+    pub fn silence_watches(&self) {
+        self.state.silent_before.set(self.state.last_watch.get() + 1);
+        self.state.reachable_since.set(Instant::now());
+    }
+
+    /// Open watches are reset.
+    pub fn reset_watches(&self) {
+        self.state.reset_before.set(self.state.last_watch.get() + 1);
+    }
+
+    /// A server drains, or takes new requests again.
+    pub fn set_ready(&self, server: usize, is_ready: bool) {
+        let generation = self.state.generation.get() + 1;
+        self.state.generation.set(generation);
+        self.state.ready.borrow_mut()[server] = (is_ready, generation);
+        if !is_ready {
+            spawn_local(self.clone().count_as_told(server, generation));
+        }
+    }
+
+    /// A drain counts as told to all nodes once discovery could be reached for long enough, whether it arrived or not.
+    async fn count_as_told(self, server: usize, generation: u64) {
+        let changed_at = Instant::now();
+        loop {
+            let is_reachable = matches!(self.state.mode.get(), Mode::Serves | Mode::Pieces);
+            let told_at = changed_at.max(self.state.reachable_since.get()) + TOLD_WITHIN;
+            if is_reachable && Instant::now() >= told_at {
+                break;
+            }
+            sleep_until((Instant::now() + CHECK_INTERVAL).max(told_at)).await;
+        }
+        if self.state.ready.borrow()[server] != (false, generation) {
+            return;
+        }
+        let mut judge = self.judge.borrow_mut();
+        for node in 0..self.addresses.borrow().len() {
+            let incarnation = judge.incarnation(node);
+            judge.on_told(node, incarnation, server, false);
+        }
+    }
+
+    /// The complete list as it is now.
+    pub fn complete_list(&self) -> String {
+        self.list_since(0, true)
+    }
+
+    fn list_since(&self, generation: u64, is_complete: bool) -> String {
+        let ready = self.state.ready.borrow();
+        let changed = ready.iter().enumerate().filter(|(_, entry)| is_complete || entry.1 > generation);
+        let document = |(server, (is_ready, _)): (usize, &(bool, u64))| {
+            let lifecycle = if *is_ready { "ready" } else { "draining" };
+            let address = self.servers.address(server);
+            format!(
+                r#"{{"instanceId":"s-{server}","hostPort":"{address}","zone":"a","cell":0,"lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":0}}"#
+            )
+        };
+        let documents: Vec<String> = changed.map(document).collect();
+        let generation = self.state.generation.get();
+        format!(
+            r#"{{"generation":{generation},"reset":{is_complete},"instances":[{}]}}"#,
+            documents.join(",")
+        )
+    }
+
+    async fn serve(self, node: usize, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let incarnation = self.judge.borrow().incarnation(node);
+        let mut stream = BufReader::new(stream);
+        let Some(from) = read_request(&mut stream).await else { return };
+        let mut stream = stream.into_inner();
+        match self.state.mode.get() {
+            Mode::Down => reset_on_drop(&stream),
+            Mode::Rejects => {
+                let _ = stream.write_all(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n").await;
+            }
+            Mode::Serves | Mode::Pieces => self.serve_watch(node, incarnation, from, stream).await,
+        }
+    }
+
+    async fn serve_watch(&self, node: usize, incarnation: u64, from: u64, mut stream: TcpStream) {
+        let watch = self.state.last_watch.get() + 1;
+        self.state.last_watch.set(watch);
+        if stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await.is_err() {
+            return;
+        }
+        let mut sent = from;
+        let mut last_write = Instant::now() - HEARTBEAT_INTERVAL;
+        loop {
+            let is_reset = watch < self.state.reset_before.get() || self.state.mode.get() == Mode::Down;
+            if is_reset {
+                return reset_on_drop(&stream);
+            }
+            if matches!(stream.try_read(&mut [0; 16]), Ok(0)) {
+                return;
+            }
+            let is_silent = watch < self.state.silent_before.get();
+            let generation = self.state.generation.get();
+            let is_heartbeat_due = last_write.elapsed() >= HEARTBEAT_INTERVAL;
+            if is_silent || (generation == sent && !is_heartbeat_due) {
+                sleep(CHECK_INTERVAL).await;
+                continue;
+            }
+            let ready = self.state.ready.borrow().clone();
+            let line = if generation == sent { String::new() } else { self.list_since(sent, sent == 0) };
+            if self.write_chunk(&mut stream, &line).await.is_err() {
+                return;
+            }
+            let mut judge = self.judge.borrow_mut();
+            for (server, (is_ready, changed)) in ready.iter().enumerate().filter(|(_, entry)| entry.1 > sent)
+            {
+                if *changed <= generation {
+                    judge.on_told(node, incarnation, server, *is_ready);
+                }
+            }
+            sent = generation;
+            last_write = Instant::now();
+        }
+    }
+
+    async fn write_chunk(&self, stream: &mut TcpStream, line: &str) -> std::io::Result<()> {
+        let chunk = format!("{:x}\r\n{line}\n\r\n", line.len() + 1);
+        if self.state.mode.get() != Mode::Pieces {
+            return stream.write_all(chunk.as_bytes()).await;
+        }
+        for byte in chunk.as_bytes().chunks(7) {
+            stream.write_all(byte).await?;
+            tokio::task::yield_now().await;
+        }
+        Ok(())
+    }
+}
+
+/// The generation from which a watch request wants changes; none where the connection ends before.
+async fn read_request(stream: &mut BufReader<TcpStream>) -> Option<u64> {
+    let mut line = String::new();
+    let mut generation = 0;
+    loop {
+        line.clear();
+        match stream.read_line(&mut line).await {
+            Ok(count) if count > 2 => {
+                if let Some((_, rest)) = line.split_once("from=") {
+                    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+                    generation = digits.parse().unwrap_or(0);
+                }
+            }
+            Ok(2) => return Some(generation),
+            _ => return None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/node.rs
@@ -0,0 +1,307 @@
+//! The processes under test: started, signalled and judged by their exits.
+
+use crate::discovery::Discovery;
+use crate::judge::{Judge, DEADLINE, DEDUP_WINDOW};
+use crate::Options;
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
+use std::cell::{Cell, RefCell};
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout, Instant};
+
+/// Descriptors that a node may hold.
+const DESCRIPTORS: u64 = 256;
+/// A node is ready within this.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+/// SIGKILL follows SIGTERM after the longest deadline and this.
+const KILL_DELAY: Duration = Duration::from_millis(700);
+/// Clients keep coming for this long after SIGTERM.
+const ARRIVALS_AFTER_SIGTERM: Duration = Duration::from_millis(300);
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Log lines that say that a node broke a rule.
+const BROKEN_RULE_MARKS: [&str; 2] = ["invariant-violated", "panicked"];
+
+struct Node {
+    address: SocketAddr,
+    child: RefCell<Option<Child>>,
+    is_accepting: Cell<bool>,
+    /// A restart is under way.
+    is_restarting: Cell<bool>,
+    starts: Cell<u64>,
+    stalled: Cell<Duration>,
+}
+
+/// All nodes of a run.
+#[derive(Clone)]
+pub struct Nodes {
+    options: Rc<Options>,
+    judge: Rc<RefCell<Judge>>,
+    discovery: Discovery,
+    nodes: Rc<Vec<Node>>,
+    seed: u64,
+}
+
+impl Nodes {
+    /// The nodes of a run, none of them started.
+    pub fn new(options: &Options, judge: &Rc<RefCell<Judge>>, discovery: &Discovery, seed: u64) -> Nodes {
+        let node = |_| Node {
+            address: free_address(),
+            child: RefCell::new(None),
+            is_accepting: Cell::new(false),
+            is_restarting: Cell::new(false),
+            starts: Cell::new(0),
+            stalled: Cell::new(Duration::ZERO),
+        };
+        let nodes = (0..options.nodes).map(node).collect();
+        Nodes {
+            options: Rc::new(options.clone()),
+            judge: judge.clone(),
+            discovery: discovery.clone(),
+            nodes: Rc::new(nodes),
+            seed,
+        }
+    }
+
+    /// The number of nodes.
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+
+    /// Where a node listens.
+    pub fn address(&self, node: usize) -> SocketAddr {
+        self.nodes[node].address
+    }
+
+    /// For how long a node has been stopped beyond what the rules allow for.
+    pub fn stalled(&self, node: usize) -> Duration {
+        self.nodes[node].stalled.get()
+    }
+
+    /// Draws one of the nodes that clients are sent to.
+    pub fn draw_accepting(&self, rng: &mut Pcg64Mcg) -> Option<usize> {
+        let accepting: Vec<usize> =
+            (0..self.len()).filter(|node| self.nodes[*node].is_accepting.get()).collect();
+        (!accepting.is_empty()).then(|| accepting[rng.random_range(0..accepting.len())])
+    }
+
+    fn file(&self, node: usize, name: &str) -> PathBuf {
+        self.options.folder.join(format!("seed{}-n{node}-{name}", self.seed))
+    }
+
+    /// Starts a process of a node; clients come once it has answered.
+    pub async fn start(&self, number: usize) {
+        let node = &self.nodes[number];
+        node.starts.set(node.starts.get() + 1);
+        node.stalled.set(Duration::ZERO);
+        self.judge.borrow_mut().on_start(number);
+        self.write_config(number);
+        let log = File::create(self.file(number, &format!("{}.log", node.starts.get()))).expect("a log");
+        let mut command = Command::new(&self.options.program);
+        command.args(["serve", "--trace"]).env("NODE_CONFIG", self.file(number, "config.json"));
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        for name in ["NODE_NAME", "NODE_LISTEN", "NODE_OPERATOR", "NODE_DISCOVERY", "NODE_PASSED_SOCKET"] {
+            command.env_remove(name);
+        }
+        *node.child.borrow_mut() = Some(command.spawn().expect("the program starts"));
+        let started_at = Instant::now();
+        while !answers_ping(node.address).await {
+            if started_at.elapsed() > READY_TIMEOUT {
+                return self.judge.borrow_mut().report("ready", format!("node {number} is not ready"));
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+        node.is_accepting.set(true);
+    }
+
+    /// Writes a node's configuration as it is now.
+    fn write_config(&self, number: usize) {
+        let class = |name: &str, effect: &str| {
+            format!(
+                r#"{{"Effect":"{effect}","DedupScope":"all","WindowNs":{},"HardLimitNs":{},"Name":"{name}","ObjectiveNs":300000000,"Worth":2.0}}"#,
+                DEDUP_WINDOW.as_nanos(),
+                DEADLINE.as_nanos()
+            )
+        };
+        let classes =
+            [class("live", "read_like"), class("keyed", "idempotency_key"), class("once", "non_idempotent")];
+        let config = format!(
+            r#"{{"name":"n{number}","listen":"{}","discovery":"{}","seed":"{:x}","limits":{{"sockets":{DESCRIPTORS}}},"known":{},
+            "settings":{{"Profiles":[{}],"Discovery":"ask","Zones":["a"],"Instances":{},
+            "Limits":{{"MaxAttempts":3,"MayCancel":true,"RetryAfter":true,"MaxRetryAfterNs":600000000,"DialTimeoutNs":250000000}},
+            "Rules":{{"AskWithinNs":10000000000,"ColdFrom":0.12,"ColdNs":10000000000,"FallMultiple":3.0,"TipAfterNs":2000000000,"StopSendingWithinNs":250000000}}}}}}"#,
+            self.nodes[number].address,
+            self.discovery.address(number),
+            self.seed * 1_000 + number as u64 * 10 + self.nodes[number].starts.get(),
+            self.discovery.complete_list(),
+            classes.join(","),
+            self.len(),
+        );
+        std::fs::write(self.file(number, "config.json"), config).expect("a configuration");
+    }
+
+    fn signal(&self, number: usize, signal: Signal) {
+        if let Some(child) = &*self.nodes[number].child.borrow() {
+            let _ = kill_process(Pid::from_child(child), signal);
+        }
+    }
+
+    /// Ends a node with SIGTERM and starts it again; arrivals go on for a while.
+    pub async fn terminate_and_restart(&self, number: usize) {
+        let node = &self.nodes[number];
+        if node.is_restarting.replace(true) {
+            return;
+        }
+        let was_stalled = node.stalled.get();
+        self.signal(number, Signal::TERM);
+        let sent_at = Instant::now();
+        sleep(ARRIVALS_AFTER_SIGTERM).await;
+        node.is_accepting.set(false);
+        let mut is_late = false;
+        while !self.has_exited(number) {
+            let stalled = node.stalled.get().saturating_sub(was_stalled);
+            let limit = DEADLINE + KILL_DELAY + stalled + self.judge.borrow().lateness();
+            if sent_at.elapsed() > limit && !std::mem::replace(&mut is_late, true) {
+                self.judge.borrow_mut().report("exit", format!("node {number} runs on after SIGTERM"));
+                self.signal(number, Signal::KILL);
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+        self.start(number).await;
+        node.is_restarting.set(false);
+    }
+
+    /// Kills a node and starts it again.
+    pub async fn kill_and_restart(&self, number: usize) {
+        let node = &self.nodes[number];
+        if node.is_restarting.replace(true) {
+            return;
+        }
+        self.judge.borrow_mut().on_kill(number);
+        self.signal(number, Signal::KILL);
+        node.is_accepting.set(false);
+        if let Some(mut child) = node.child.borrow_mut().take() {
+            let _ = child.wait();
+        }
+        self.start(number).await;
+        node.is_restarting.set(false);
+    }
+
+    /// Whether a node's process has ended by itself. Its exit has to be in order.
+    fn has_exited(&self, number: usize) -> bool {
+        let mut child = self.nodes[number].child.borrow_mut();
+        let Some(status) = child.as_mut().and_then(|child| child.try_wait().ok().flatten()) else {
+            return child.is_none();
+        };
+        *child = None;
+        if !status.success() {
+            self.judge.borrow_mut().report("crash", format!("node {number} ended with {status}"));
+        }
+        true
+    }
+
+    /// Reports a node that has ended although nobody told it to.
+    pub fn check_running(&self) {
+        for number in 0..self.len() {
+            if !self.nodes[number].is_restarting.get() && self.has_exited(number) {
+                self.judge.borrow_mut().report("crash", format!("node {number} is gone"));
+                self.nodes[number].is_restarting.set(true);
+                self.nodes[number].is_accepting.set(false);
+            }
+        }
+    }
+
+    /// Stops a node for a while. `is_allowed_for`: the rules hold all the same.
+    pub async fn stop_for(&self, number: usize, span: Duration, is_allowed_for: bool) {
+        if !is_allowed_for {
+            let node = &self.nodes[number];
+            node.stalled.set(node.stalled.get() + span);
+            self.judge.borrow_mut().on_stall(number, span);
+        }
+        self.signal(number, Signal::STOP);
+        sleep(span).await;
+        self.signal(number, Signal::CONT);
+    }
+
+    /// The nodes read their configuration again.
+    pub fn reload(&self) {
+        for number in 0..self.len() {
+            self.write_config(number);
+            self.signal(number, Signal::HUP);
+        }
+    }
+
+    /// A node gets no new descriptor for a while.
+    pub async fn starve_of_descriptors(&self, number: usize, span: Duration) {
+        self.limit_descriptors(number, 4);
+        sleep(span).await;
+        self.limit_descriptors(number, DESCRIPTORS + 64);
+    }
+
+    fn limit_descriptors(&self, number: usize, limit: u64) {
+        if let Some(child) = &*self.nodes[number].child.borrow() {
+            let limit = Rlimit { current: Some(limit), maximum: Some(4_096) };
+            let _ = prlimit(Some(Pid::from_child(child)), Resource::Nofile, limit);
+        }
+    }
+
+    /// Ends all nodes, and reports what their logs say of broken rules.
+    pub fn finish(&self) {
+        for number in 0..self.len() {
+            if let Some(mut child) = self.nodes[number].child.borrow_mut().take() {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+            for start in 1..=self.nodes[number].starts.get() {
+                let log =
+                    std::fs::read_to_string(self.file(number, &format!("{start}.log"))).unwrap_or_default();
+                let broken =
+                    log.lines().filter(|line| BROKEN_RULE_MARKS.iter().any(|mark| line.contains(mark)));
+                for line in broken {
+                    self.judge
+                        .borrow_mut()
+                        .report("own-report", format!("node {number} start {start}: {line}"));
+                }
+            }
+        }
+    }
+
+    /// Removes the files of a run.
+    pub fn remove_files(&self) {
+        for number in 0..self.len() {
+            let _ = std::fs::remove_file(self.file(number, "config.json"));
+            for start in 1..=self.nodes[number].starts.get() {
+                let _ = std::fs::remove_file(self.file(number, &format!("{start}.log")));
+            }
+        }
+    }
+}
+
+/// An address with a port that was free a moment ago.
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+async fn answers_ping(address: SocketAddr) -> bool {
+    let ping = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        stream.write_all(b"PING\r\n").await.ok()?;
+        let mut line = String::new();
+        BufReader::new(&mut stream).read_line(&mut line).await.ok()?;
+        (line.trim() == "PONG").then_some(())
+    };
+    timeout(Duration::from_millis(500), ping).await.ok().flatten().is_some()
+}
--- /dev/null
+++ b/crates/soak/src/world.rs
@@ -0,0 +1,166 @@
+//! One run: all peers and nodes, and the faults of a schedule at their times.
+
+use crate::client::{Behaviour, Client};
+use crate::discovery::{self, Discovery};
+use crate::judge::Judge;
+use crate::node::Nodes;
+use crate::schedule::{Fault, PlannedFault, Schedule};
+use crate::server::{Mode, Servers, SessionEnd};
+use crate::{Options, Report};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, sleep_until, Instant};
+
+const SERVERS: usize = 5;
+/// Clients for each node.
+const CLIENTS_PER_NODE: usize = 8;
+const TICK_INTERVAL: Duration = Duration::from_millis(5);
+/// A process that is held up this long still keeps the rules.
+const HOLD_UP: Duration = Duration::from_millis(150);
+const STALL: Duration = Duration::from_millis(1_000);
+/// How long a fault lasts, unless it is over at once.
+const FAULT_MS: std::ops::Range<u64> = 150..1_600;
+/// After the last fault the run goes on for this long, and the clients then stop for as long.
+const QUIET: Duration = Duration::from_millis(2_500);
+
+struct World {
+    judge: Rc<RefCell<Judge>>,
+    servers: Servers,
+    discovery: Discovery,
+    nodes: Nodes,
+    behaviour: Rc<Behaviour>,
+    rng: RefCell<Pcg64Mcg>,
+    /// Faults of one kind that last.
+    lasting: Cell<usize>,
+}
+
+/// Plays a schedule.
+pub async fn play(options: &Options, schedule: &Schedule) -> Report {
+    let judge = Rc::new(RefCell::new(Judge::new(options.nodes)));
+    let ticking = judge.clone();
+    spawn_local(async move {
+        loop {
+            sleep(TICK_INTERVAL).await;
+            ticking.borrow_mut().tick(TICK_INTERVAL);
+        }
+    });
+    let servers = Servers::start(&judge, SERVERS).await;
+    let discovery = Discovery::start(&judge, &servers, options.nodes).await;
+    let nodes = Nodes::new(options, &judge, &discovery, schedule.seed);
+    for node in 0..options.nodes {
+        nodes.start(node).await;
+    }
+    let behaviour = Rc::new(Behaviour::default());
+    for number in 0..(options.nodes * CLIENTS_PER_NODE) as u64 {
+        let client = Client::new(&judge, &nodes, &servers, &behaviour, number + 1, schedule.seed);
+        spawn_local(client.run());
+    }
+    let rng = RefCell::new(Pcg64Mcg::seed_from_u64(schedule.seed));
+    let world = Rc::new(World { judge, servers, discovery, nodes, behaviour, rng, lasting: Cell::new(0) });
+    world.clone().play_faults(schedule).await;
+    sleep(QUIET).await;
+    world.behaviour.stopped.set(true);
+    sleep(QUIET).await;
+    world.nodes.check_running();
+    world.nodes.finish();
+    let judge = world.judge.borrow();
+    if judge.violations().is_empty() {
+        world.nodes.remove_files();
+    }
+    Report {
+        seed: schedule.seed,
+        schedule: schedule.clone(),
+        violations: judge.violations().to_vec(),
+        requests: judge.sent,
+        served: judge.served,
+    }
+}
+
+impl World {
+    async fn play_faults(self: Rc<World>, schedule: &Schedule) {
+        let start = Instant::now();
+        for PlannedFault { at_ms, fault, target } in &schedule.faults {
+            sleep_until(start + Duration::from_millis(*at_ms)).await;
+            self.nodes.check_running();
+            let duration = Duration::from_millis(self.rng.borrow_mut().random_range(FAULT_MS));
+            spawn_local(self.clone().inject(*fault, *target, duration));
+        }
+        sleep_until(start + Duration::from_millis(schedule.end_ms())).await;
+    }
+
+    async fn inject(self: Rc<World>, fault: Fault, target: u64, duration: Duration) {
+        let node = target as usize % self.nodes.len();
+        self.lasting.set(self.lasting.get() + 1);
+        match fault {
+            Fault::Terminate => self.nodes.terminate_and_restart(node).await,
+            Fault::Kill => self.nodes.kill_and_restart(node).await,
+            Fault::HoldUp => self.nodes.stop_for(node, HOLD_UP, true).await,
+            Fault::Stall => self.nodes.stop_for(node, STALL, false).await,
+            Fault::MoveDiscovery => {
+                self.discovery.move_addresses();
+                self.nodes.reload();
+            }
+            Fault::Reload => self.nodes.reload(),
+            Fault::DescriptorShortage => self.nodes.starve_of_descriptors(node, duration).await,
+            Fault::Drain => self.drain_server(target, duration).await,
+            Fault::SilentWatches => self.discovery.silence_watches(),
+            Fault::ResetWatches => self.discovery.reset_watches(),
+            Fault::DiscoveryDown => self.set_discovery(discovery::Mode::Down, duration).await,
+            Fault::DiscoveryRejects => self.set_discovery(discovery::Mode::Rejects, duration).await,
+            Fault::ListsInPieces => self.set_discovery(discovery::Mode::Pieces, duration).await,
+            Fault::ServersHang => self.set_servers(target, Mode::Hangs, duration).await,
+            Fault::ServersReject => self.set_servers(target, Mode::Rejects, duration).await,
+            Fault::ServersReset => self.set_servers(target, Mode::Resets, duration).await,
+            Fault::ServersBreakOff => self.set_servers(target, Mode::BreaksOff, duration).await,
+            Fault::ServersLate => self.set_servers(target, Mode::Late, duration).await,
+            Fault::ServerRefuses => self.servers.refuse_for(target as usize % SERVERS, duration).await,
+            Fault::SessionsEnd => self.end_sessions(target, SessionEnd::Orderly),
+            Fault::SessionsReset => self.end_sessions(target, SessionEnd::Reset),
+            Fault::SessionsBurst => self.end_sessions(target, SessionEnd::Burst),
+            Fault::ClientsLeave => Self::set_clients(&self.behaviour.leave, duration).await,
+            Fault::ClientsFlood => Self::set_clients(&self.behaviour.flood, duration).await,
+            Fault::ClientsIdle => Self::set_clients(&self.behaviour.idle, duration).await,
+            Fault::ClientsHalfLine => Self::set_clients(&self.behaviour.half_line, duration).await,
+        }
+        self.lasting.set(self.lasting.get() - 1);
+    }
+
+    /// The servers that a fault hits: about half of them.
+    fn hit_servers(target: u64) -> impl Iterator<Item = usize> {
+        (0..SERVERS).filter(move |server| (target >> server) & 1 == 1)
+    }
+
+    async fn set_servers(&self, target: u64, mode: Mode, duration: Duration) {
+        Self::hit_servers(target).for_each(|server| self.servers.set_mode(server, mode));
+        sleep(duration).await;
+        Self::hit_servers(target).for_each(|server| self.servers.set_mode(server, Mode::Serves));
+    }
+
+    fn end_sessions(&self, target: u64, end: SessionEnd) {
+        Self::hit_servers(target).for_each(|server| self.servers.end_sessions(server, end));
+    }
+
+    async fn drain_server(&self, target: u64, duration: Duration) {
+        let server = target as usize % SERVERS;
+        self.discovery.set_ready(server, false);
+        // Long enough for a drain that no watch tells.
+        sleep(duration + Duration::from_secs(2)).await;
+        self.discovery.set_ready(server, true);
+    }
+
+    async fn set_discovery(&self, mode: discovery::Mode, duration: Duration) {
+        self.discovery.set_mode(mode);
+        sleep(duration).await;
+        self.discovery.set_mode(discovery::Mode::Serves);
+    }
+
+    async fn set_clients(behaviour: &Cell<bool>, duration: Duration) {
+        behaviour.set(true);
+        sleep(duration).await;
+        behaviour.set(false);
+    }
+}
