--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -86,25 +86,25 @@
         while !self.behaviour.stopped.get() {
             sleep(Duration::from_millis(self.rng.random_range(5..120))).await;
             let Some(node) = self.nodes.draw_accepting(&mut self.rng) else { continue };
+            let incarnation = self.judge.borrow().incarnation(node);
             let Ok(stream) = TcpStream::connect(self.nodes.address(node)).await else { continue };
             let _ = stream.set_nodelay(true);
             let is_drawn = self.rng.random_bool(0.5);
             if self.behaviour.idle.get() && is_drawn {
-                self.misbehave(node, stream, "").await;
+                self.misbehave(node, incarnation, stream, "").await;
             } else if self.behaviour.half_line.get() && is_drawn {
-                self.misbehave(node, stream, "OPEN 9b1f 7f3a c=li").await;
+                self.misbehave(node, incarnation, stream, "OPEN 9b1f 7f3a c=li").await;
             } else if self.behaviour.flood.get() && is_drawn {
                 let line = "OPEN 9b1f 7f3a c=live,t=acme,d=1000,g=5c\r\n".repeat(100);
-                self.misbehave(node, stream, &line).await;
+                self.misbehave(node, incarnation, stream, &line).await;
             } else {
-                self.request(node, stream).await;
+                self.request(node, incarnation, stream).await;
             }
         }
     }
 
     /// A client without a sound request gets an answer or a close in time.
-    async fn misbehave(&mut self, node: usize, mut stream: TcpStream, text: &str) {
-        let incarnation = self.judge.borrow().incarnation(node);
+    async fn misbehave(&mut self, node: usize, incarnation: u64, mut stream: TcpStream, text: &str) {
         let connected_at = Instant::now();
         if stream.write_all(text.as_bytes()).await.is_err() {
             return;
@@ -123,7 +123,7 @@
         }
     }
 
-    async fn request(&mut self, node: usize, stream: TcpStream) {
+    async fn request(&mut self, node: usize, incarnation: u64, stream: TcpStream) {
         self.requests += 1;
         let id = format!("{:x}", (self.number << 24) | self.requests);
         let class = [Class::Live, Class::Live, Class::Keyed, Class::Once][self.rng.random_range(0..4)];
@@ -139,7 +139,7 @@
             return;
         }
         let sent_at = Instant::now();
-        self.judge.borrow_mut().on_request(&id, node, class, &line);
+        self.judge.borrow_mut().on_request(&id, node, incarnation, class, &line);
         let mut read = BufReader::new(read);
         if self.behaviour.leave.get() && self.rng.random_bool(0.7) {
             return self.leave(&id, read, write).await;
@@ -159,7 +159,7 @@
         };
         self.judge.borrow_mut().on_answer(&id, answer, sent_at.elapsed());
         if answer == Answer::Up {
-            self.hold_session(node, &id, read, write).await;
+            self.hold_session(node, incarnation, &id, read, write).await;
         } else if timeout(ANSWER_TIMEOUT, read.read_line(&mut text))
             .await
             .is_ok_and(|more| more.is_ok_and(|count| count > 0))
@@ -194,17 +194,18 @@
     async fn hold_session(
         &mut self,
         node: usize,
+        incarnation: u64,
         id: &str,
         mut read: BufReader<OwnedReadHalf>,
         mut write: OwnedWriteHalf,
     ) {
-        let incarnation = self.judge.borrow().incarnation(node);
         let end = Instant::now() + Duration::from_millis(self.rng.random_range(50..MAX_SESSION_MS));
-        if self.rng.random_bool(0.1) {
-            sleep(STALL).await;
-        }
         let mut lines = Lines::default();
-        while Instant::now() < end {
+        // A session that its server has ended is watched to its end.
+        while Instant::now() < end || self.servers.ended_at(id).is_some() {
+            if self.rng.random_bool(0.1) {
+                sleep(STALL).await;
+            }
             if write.write_all(b"M 1\r\n").await.is_err() {
                 break;
             }
@@ -233,7 +234,10 @@
             judge.report("silent", format!("{id} at node {node}: no line for {:?}", lines.last_at.elapsed()));
         }
         let ended_at = self.servers.ended_at(id);
-        if let Some(ended_at) = ended_at.filter(|at| at.elapsed() > END_TIMEOUT + LINE_TIMEOUT + allowed) {
+        let limit = END_TIMEOUT + LINE_TIMEOUT + STALL + allowed;
+        if let Some(ended_at) =
+            ended_at.filter(|at| at.elapsed() > limit && lines.last_at.elapsed() > LINE_TIMEOUT)
+        {
             let elapsed = ended_at.elapsed();
             judge.report("held", format!("{id} at node {node}: its server ended {elapsed:?} ago"));
         }
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -20,7 +20,7 @@
 /// A late one takes longer than an attempt's time.
 const LATE_ANSWER_TIME: Duration = Duration::from_millis(420);
 /// Lines of a burst.
-const BURST_LINES: usize = 30_000;
+const BURST_LINES: usize = 200_000;
 
 /// What a server does with request lines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -24,6 +24,8 @@
 const STALL: Duration = Duration::from_millis(1_000);
 /// How long a fault lasts, unless it is over at once.
 const FAULT_MS: std::ops::Range<u64> = 150..1_600;
+/// A shortage of descriptors lasts for a moment: within the time that an answer may be late.
+const SHORTAGE_MS: u64 = 400;
 /// After the last fault the run goes on for this long, and the clients then stop for as long.
 const QUIET: Duration = Duration::from_millis(2_500);
 
@@ -105,7 +107,10 @@
                 self.nodes.reload();
             }
             Fault::Reload => self.nodes.reload(),
-            Fault::DescriptorShortage => self.nodes.starve_of_descriptors(node, duration).await,
+            Fault::DescriptorShortage => {
+                let moment = duration.min(Duration::from_millis(SHORTAGE_MS));
+                self.nodes.starve_of_descriptors(node, moment).await;
+            }
             Fault::Drain => self.drain_server(target, duration).await,
             Fault::SilentWatches => self.discovery.silence_watches(),
             Fault::ResetWatches => self.discovery.reset_watches(),
