End 0.2 s before SIGKILL, so that a hold-up at SIGTERM does not reach it

Cause: EXIT_BEFORE_KILL was 0.1 s, counted from when the process handles SIGTERM; a process may be held up for 0.15 s there. Change: MAX_HOLD_UP and 0.05 s.

--- a/src/lifecycle/phases.rs
+++ b/src/lifecycle/phases.rs
@@ -2,7 +2,7 @@
 //! that shuts down cannot resume, and one that serves has nothing to resume from.
 
 use super::schedule::MigrationSchedule;
-use crate::vocabulary::Nanos;
+use crate::vocabulary::{Nanos, MAX_HOLD_UP};
 
 /// An operator's drain is complete this long after the call.
 const DRAIN_DURATION: Nanos = 4_000_000_000;
@@ -11,8 +11,9 @@
 /// No more of the longest deadline counts than this: SIGKILL once ended a node that still counted on 3.7 s where
 /// the deadlines are 1.2 s.
 const MAX_COUNTED_DEADLINE: Nanos = 3_000_000_000;
-/// The process ends this long before SIGKILL, whether or not its clients have read their last line.
-const EXIT_BEFORE_KILL: Nanos = 100_000_000;
+/// The process ends this long before SIGKILL, whether or not its clients have read their last line. It counts from when
+/// it handles SIGTERM: it may have been held up before that, and takes a moment to end.
+const EXIT_BEFORE_KILL: Nanos = MAX_HOLD_UP + 50_000_000;
 /// A process whose successor serves waits for SIGTERM no longer than this.
 const MAX_WAIT_FOR_SIGTERM: Nanos = 10_000_000_000;
 
--- a/src/rules/mod.rs
+++ b/src/rules/mod.rs
@@ -18,9 +18,3 @@
 pub use send::{may_send, send_by, SendFacts, SendRefusal};
 pub use start::{may_start, StartFacts, StartRefusal};
 pub use violation::{Violation, ViolationLog};
-
-use crate::vocabulary::Nanos;
-
-/// A process may be held up for this long between the reading of its clock and a write. A time limit within which a
-/// write has to take place is kept with that much to spare.
-pub const MAX_HOLD_UP: Nanos = 150_000_000;
--- a/src/rules/send.rs
+++ b/src/rules/send.rs
@@ -1,7 +1,6 @@
 //! Whether a request may be written to a server now.
 
-use super::MAX_HOLD_UP;
-use crate::vocabulary::Nanos;
+use crate::vocabulary::{Nanos, MAX_HOLD_UP};
 use std::fmt;
 
 /// What is known at the moment at which the first byte of a request would be written to a server.
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::resilience::AttemptHistory;
-use crate::vocabulary::{DedupScope, Effect, Outcome, RequestClass, ServerId, Settings};
+use crate::vocabulary::{DedupScope, Effect, Nanos, Outcome, RequestClass, ServerId, Settings};
 use rstest::rstest;
 
 const MILLISECOND: Nanos = 1_000_000;
--- a/src/vocabulary/mod.rs
+++ b/src/vocabulary/mod.rs
@@ -16,3 +16,7 @@
 
 /// A point in time or a duration, in nanoseconds.
 pub type Nanos = u64;
+
+/// A process may be held up for this long between the reading of its clock and a write. A time limit within which a
+/// write has to take place is kept with that much to spare.
+pub const MAX_HOLD_UP: Nanos = 150_000_000;
