--- a/tests/startup_races.rs
+++ b/tests/startup_races.rs
@@ -4,10 +4,15 @@
 
 use rstest::rstest;
 use rustix::fs::{mknodat, FileType, Mode, CWD};
-use std::io::Write;
-use std::io::{BufRead, BufReader};
+use rustix::process::{prlimit, Pid, Resource, Rlimit};
+use std::io::{BufRead, BufReader, Write};
+use std::process::{Command, Stdio};
+use std::time::Duration;
 use support::{config, listener, node_command, temp_file};
 
+/// The process gets no descriptors for this long.
+const SHORTAGE: Duration = Duration::from_millis(700);
+
 /// A signal arrives while the process reads its configuration: SIGHUP and SIGUSR1 do not end it, and SIGTERM lets it end
 /// in order. The configuration is a FIFO, which holds the process up until the test has sent the signal.
 #[rstest]
@@ -26,7 +31,7 @@
     std::fs::remove_file(&path).expect("the FIFO");
     std::fs::write(&path, &text).expect("what a reload reads");
     let pid = child.id().to_string();
-    let sent = std::process::Command::new("kill").args([signal, &pid]).status();
+    let sent = Command::new("kill").args([signal, &pid]).status();
     assert!(sent.expect("kill runs").success());
     fifo.write_all(text.as_bytes()).expect("the process still reads");
     drop(fifo);
@@ -40,3 +45,23 @@
     std::fs::remove_file(&path).expect("the file");
     assert!(found, "no log line {event}: {status}");
 }
+
+/// The process gets no descriptors while it starts: it waits for them and then serves.
+#[test]
+fn a_shortage_of_descriptors_during_start_up_delays_it() {
+    let discovery = listener();
+    let text = config(discovery.local_addr().expect("an address"), "", 256);
+    let path = temp_file("node.json", &text);
+    let mut command = Command::new("sh");
+    command.args(["-c", "ulimit -S -n 4; exec \"$0\" serve"]).arg(env!("CARGO_BIN_EXE_sparbank"));
+    let mut child = command.env("NODE_CONFIG", &path).stderr(Stdio::piped()).spawn().expect("it starts");
+    std::thread::sleep(SHORTAGE);
+    let limit = Rlimit { current: Some(64), maximum: Some(1024) };
+    prlimit(Some(Pid::from_child(&child)), Resource::Nofile, limit).expect("a limit");
+    let log = BufReader::new(child.stderr.take().expect("its log"));
+    let lines: Vec<String> = log.lines().map_while(Result::ok).take(1).collect();
+    child.kill().expect("it is ended");
+    child.wait().expect("it ends");
+    std::fs::remove_file(&path).expect("the file");
+    assert!(lines.concat().starts_with("sparbank started"), "{lines:?}");
+}
