--- a/src/node/configuration.rs
+++ b/src/node/configuration.rs
@@ -5,6 +5,7 @@
 use crate::front::{FrontError, FrontFiles, ParsedFrontFiles, OPTIONAL_FRONTS};
 use std::error::Error;
 use std::fmt;
+use std::io;
 
 /// A checked configuration, not applied yet.
 pub struct Configuration {
@@ -44,6 +45,16 @@
     Front(FrontError),
 }
 
+impl ConfigurationError {
+    /// Why the node's own configuration could not be read, where that is the problem.
+    pub fn io_error(&self) -> Option<&io::Error> {
+        match self {
+            ConfigurationError::Node(ConfigError::Unreadable { source, .. }) => Some(source),
+            ConfigurationError::Node(_) | ConfigurationError::Front(_) => None,
+        }
+    }
+}
+
 impl fmt::Display for ConfigurationError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -19,6 +19,7 @@
 mod reports;
 mod signals;
 mod startup;
+mod startup_retry;
 #[cfg(test)]
 mod tests;
 
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -3,6 +3,7 @@
 use super::clock::Clock;
 use super::configuration::Configuration;
 use super::signals::{SignalPipes, SignalSockets};
+use super::startup_retry::{is_shortage, retry_while_short};
 use super::{Node, NodeState, Options, PrepareError, ServeError};
 use crate::admin::AdminServer;
 use crate::config::Config;
@@ -38,8 +39,11 @@
 impl PreparedNode {
     /// Reads and checks all that is configured: it is valid, or nothing starts.
     pub fn prepare(options: Options) -> Result<PreparedNode, PrepareError> {
-        let signals = SignalPipes::install();
-        let configuration = Configuration::read(&options.front_files)?;
+        let signals = retry_while_short(SignalPipes::install, is_shortage);
+        let configuration = retry_while_short(
+            || Configuration::read(&options.front_files),
+            |error| error.io_error().is_some_and(is_shortage),
+        )?;
         let quota_membership = match &options.quota_file {
             Some(file) => {
                 let Config { name, max_descriptors, .. } = &configuration.node;
@@ -67,7 +71,8 @@
     /// Opens everything, and lets the balancer decide on the endpoints that are known from the start.
     fn start(self) -> Result<Node, ServeError> {
         let Configuration { node: config, fronts: front_configs } = self.configuration;
-        let mut net = SocketReactor::new(config.max_descriptors).map_err(ServeError::Poll)?;
+        let reactor = || SocketReactor::new(config.max_descriptors);
+        let mut net = retry_while_short(reactor, is_shortage).map_err(ServeError::Poll)?;
         let signals = self.signals.and_then(|pipes| SignalSockets::register(&mut net, pipes));
         let signals = signals.map_err(ServeError::Signals)?;
         let mut startup = Startup::new(config, net)?;
@@ -162,7 +167,7 @@
 
     fn open_admin(&mut self) -> Result<Option<OpenedAdmin>, ServeError> {
         let Some(address) = self.config.admin_listen else { return Ok(None) };
-        match AdminServer::open(&mut self.net, address) {
+        match retry_while_short(|| AdminServer::open(&mut self.net, address), is_shortage) {
             Ok((server, listen)) => Ok(Some(OpenedAdmin { server, listen })),
             Err(source) => Err(ServeError::AdminListen { address, source }),
         }
@@ -189,7 +194,7 @@
         let owner = SocketOwner::Front(TEXT_FRONT);
         let listening = match passed_listener {
             Some(socket) => self.net.register_listener(socket, owner),
-            None => self.net.listen(self.config.listen, owner),
+            None => retry_while_short(|| self.net.listen(self.config.listen, owner), is_shortage),
         };
         let listen = listening.map_err(ServeError::Listen)?;
         log::line(format_args!("started name={} listen={listen}", self.config.name));
