--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -26,6 +26,9 @@
 const LINE_INTERVAL: Duration = Duration::from_millis(250);
 /// The longest session.
 const MAX_SESSION_MS: u64 = 2_500;
+/// How often clients leave while their requests wait, where that is the fault played and otherwise.
+const OFTEN: f64 = 0.7;
+const SELDOM: f64 = 0.15;
 /// A client that stalls does not read for this long.
 const STALL: Duration = Duration::from_millis(600);
 
@@ -141,7 +144,8 @@
         let sent_at = Instant::now();
         self.judge.borrow_mut().on_request(&id, node, incarnation, class, &line);
         let mut read = BufReader::new(read);
-        if self.behaviour.leave.get() && self.rng.random_bool(0.7) {
+        let leaves = if self.behaviour.leave.get() { OFTEN } else { SELDOM };
+        if self.rng.random_bool(leaves) {
             return self.leave(&id, read, write).await;
         }
         let mut text = String::new();
