Take servers' starts from the wall clock by what it has stepped under the node

Cause: startedAtMs is wall-clock time; the balancer compared it with the node's clock, which is Unix time at the start and monotonic from there on. After a step back a server that starts looks as old as the step, so that the node sends it what a warm server gets; after a step forward it stays in slow start until the node's clock has caught up. Change: src/discovery/wall_clock.rs keeps how far the wall clock was ahead between its steps; a start is converted once, when it is first told, to the node's clock, the later of two possible times. Without a step nothing changes.

--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -9,6 +9,7 @@
 mod document;
 mod framing;
 mod registry;
+mod wall_clock;
 mod watch;
 
 pub use client::{DiscoveryClient, TransferredWatch};
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -1,7 +1,8 @@
 //! The endpoint registry: what is known of each endpoint, under the id that the balancer knows it by.
 
 use super::document::{EndpointDocument, EndpointLifecycle, EndpointListDocument};
-use crate::vocabulary::{Endpoint, Event, ListKind, ServerId, Status};
+use super::wall_clock::WallClock;
+use crate::vocabulary::{Endpoint, Event, ListKind, Nanos, ServerId, Status};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -11,6 +12,8 @@
 /// What is known of an endpoint.
 pub struct RegistryEntry {
     document: EndpointDocument,
+    /// When its process started, on the node's clock; zero is long ago.
+    started_at: Nanos,
 }
 
 impl RegistryEntry {
@@ -33,6 +36,10 @@
 /// All endpoints that the discovery service has ever named to this node.
 pub struct EndpointRegistry {
     zones: Vec<String>,
+    /// By which discovery says when servers started.
+    wall_clock: WallClock,
+    /// The node's clock at the last look at the wall clock.
+    now: Nanos,
     generation: u64,
     /// By [`ServerId`]; an endpoint that is gone keeps its place.
     entries: Vec<RegistryEntry>,
@@ -45,10 +52,12 @@
 }
 
 impl EndpointRegistry {
-    /// An empty registry for a node that knows these zones.
-    pub fn new(zones: Vec<String>) -> EndpointRegistry {
+    /// An empty registry for a node that knows these zones, with the node's clock and the wall clock as they are now.
+    pub fn new(zones: Vec<String>, now: Nanos, wall: Nanos) -> EndpointRegistry {
         EndpointRegistry {
             zones,
+            wall_clock: WallClock::new(now, wall),
+            now,
             generation: 0,
             entries: Vec::new(),
             ids: HashMap::new(),
@@ -57,6 +66,12 @@
         }
     }
 
+    /// Notices a step of the wall clock. Call it before each list, and now and then.
+    pub fn observe_clocks(&mut self, now: Nanos, wall: Nanos) {
+        self.now = now;
+        self.wall_clock.observe(now, wall);
+    }
+
     /// An endpoint by its id.
     pub fn entry(&self, server: ServerId) -> Option<&RegistryEntry> {
         self.entries.get(server.0 as usize)
@@ -134,18 +149,33 @@
 
     fn insert(&mut self, document: EndpointDocument) -> Endpoint {
         let server = self.id_of(&document.name).unwrap_or(ServerId(self.entries.len() as u32));
-        let endpoint = self.endpoint(server, &document);
+        let started_at = self.started_at(server, document.started_at_ms);
+        let endpoint = self.endpoint(server, &document, started_at);
+        let entry = RegistryEntry { document, started_at };
         match self.entries.get_mut(server.0 as usize) {
-            Some(entry) => entry.document = document,
+            Some(known) => *known = entry,
             None => {
-                self.ids.insert(document.name.clone(), server);
-                self.entries.push(RegistryEntry { document });
+                self.ids.insert(entry.document.name.clone(), server);
+                self.entries.push(entry);
             }
         }
         endpoint
     }
 
-    fn endpoint(&self, server: ServerId, document: &EndpointDocument) -> Endpoint {
+    /// When a server's process started, on the node's clock. What was found out once stays, however the wall clock
+    /// steps; zero stays long ago.
+    fn started_at(&self, server: ServerId, started_at_ms: u64) -> Nanos {
+        let known = self.entry(server).filter(|entry| entry.document.started_at_ms == started_at_ms);
+        match known {
+            _ if started_at_ms == 0 => 0,
+            Some(entry) => entry.started_at,
+            None => {
+                self.wall_clock.to_node_time(started_at_ms.saturating_mul(NANOS_PER_MILLI), self.now).max(1)
+            }
+        }
+    }
+
+    fn endpoint(&self, server: ServerId, document: &EndpointDocument, started_at: Nanos) -> Endpoint {
         let zone = self.zones.iter().position(|zone| *zone == document.zone).unwrap_or(self.zones.len());
         Endpoint {
             server,
@@ -153,8 +183,7 @@
             zone: zone as u32,
             cell: document.cell,
             nominal: document.weight,
-            // The balancer's clock is Unix time too; zero stays long ago.
-            started_at: document.started_at_ms.saturating_mul(NANOS_PER_MILLI),
+            started_at,
             status: match document.lifecycle {
                 EndpointLifecycle::Ready => Status::Serving,
                 EndpointLifecycle::Draining => Status::Draining,
--- a/src/front/text/tests.rs
+++ b/src/front/text/tests.rs
@@ -66,7 +66,7 @@
         let mut net = SocketReactor::new(config.max_descriptors).expect("epoll");
         let listen = net.listen(config.listen, SocketOwner::Front(TEXT_FRONT)).expect("a port");
         let mut requests = RequestTable::new(config.seed, config.settings.clone()).expect("valid settings");
-        let mut registry = EndpointRegistry::new(config.site.zones.clone());
+        let mut registry = EndpointRegistry::new(config.site.zones.clone(), START, START);
         requests.push_event(registry.restore(&config.known_endpoints));
         let mut bench = FrontBench {
             now: START,
--- a/src/handover/tests.rs
+++ b/src/handover/tests.rs
@@ -12,6 +12,9 @@
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 
+/// Both clocks, later than any start of a server here.
+const NOW: crate::vocabulary::Nanos = u64::MAX / 4;
+
 const SECOND: u64 = 1_000_000_000;
 
 /// A recorded message and the number of descriptors that arrived beside it.
@@ -156,7 +159,7 @@
 #[case::drained("drained")]
 fn the_recorded_balancer_state_is_restored_completely(#[case] name: &str) {
     let snapshot = snapshot(name);
-    let list = EndpointRegistry::new(vec!["a".to_string()]).restore(&snapshot.endpoint_list);
+    let list = EndpointRegistry::new(vec!["a".to_string()], NOW, NOW).restore(&snapshot.endpoint_list);
     let mut balancer = Balancer::new(7, settings()).expect("valid settings");
     balancer.handle(SECOND, list, &mut Vec::new());
     assert_ne!(balancer.state_snapshot(), snapshot.balancer_state, "nothing is known yet");
--- a/src/node/endpoint_events.rs
+++ b/src/node/endpoint_events.rs
@@ -1,5 +1,6 @@
 //! The discovery watch, and the endpoint events that it yields.
 
+use super::clock::Clock;
 use super::Node;
 use crate::log;
 use crate::net::{SocketEvent, SocketEventKind};
@@ -16,13 +17,20 @@
 
     /// Handles what has already arrived on the watch.
     pub(super) fn read_pending_endpoint_events(&mut self) {
-        let now = self.state.now();
+        let now = self.observe_clocks();
         let pending = self.discovery.read_pending(now, &mut self.state.net, &mut self.state.registry);
         for event in pending {
             self.on_endpoint_event(event);
         }
     }
 
+    /// Looks for a step of the wall clock, by which discovery says when servers started. Yields the node's time.
+    pub(super) fn observe_clocks(&mut self) -> Nanos {
+        let now = self.state.now();
+        self.state.registry.observe_clocks(now, Clock::wall());
+        now
+    }
+
     /// Moves the watch to the configured address, after what the old one has sent.
     pub(super) fn change_discovery_address(&mut self) {
         let now = self.state.now();
@@ -37,7 +45,7 @@
     /// Handles an event at the socket of the watch.
     pub(super) fn on_discovery_socket(&mut self, event: SocketEvent) {
         let failed = matches!(event.kind, SocketEventKind::Failed { .. });
-        let now = self.state.now();
+        let now = self.observe_clocks();
         let (net, registry) = (&mut self.state.net, &mut self.state.registry);
         let endpoint_events = self.discovery.on_socket_event(now, net, registry, event.token, failed);
         for endpoint_event in endpoint_events {
--- a/src/node/event_loop.rs
+++ b/src/node/event_loop.rs
@@ -93,7 +93,7 @@
     }
 
     fn on_tick(&mut self) {
-        let now = self.state.now();
+        let now = self.observe_clocks();
         if let Some(event) = self.discovery.close_silent_watch(now, &mut self.state.net) {
             self.on_endpoint_event(event);
         }
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -91,14 +91,14 @@
             log::line(format_args!("operator listen={}", admin.listen));
         }
         let flow_export = startup.open_flow_export(self.flow_collector)?;
-        let clock = Clock::new();
+        let clock = startup.clock;
         let lease_transport = match self.quota_membership {
             Some(membership) => Some(startup.join_fleet(membership, clock.now())?),
             None => None,
         };
         let wheel = first_timers(&clock, lease_transport.is_some());
         let handover = handover_path.map(|path| Handover::open(&mut startup.net, &path, predecessor.channel));
-        let Startup { config, net, requests, registry, discovery } = startup;
+        let Startup { config, net, requests, registry, discovery, .. } = startup;
         let lifecycle = Lifecycle::default();
         let mut node = Node {
             state: NodeState { clock, net, requests, registry, wheel, config, lifecycle },
@@ -132,6 +132,7 @@
 
 /// What the steps of the start-up work on.
 struct Startup {
+    clock: Clock,
     config: Config,
     net: SocketReactor,
     requests: RequestTable,
@@ -160,9 +161,11 @@
         if log::is_trace_enabled() {
             requests.attempt_trace.enable();
         }
-        let registry = EndpointRegistry::new(config.site.zones.clone());
+        let clock = Clock::new();
+        let now = clock.now();
+        let registry = EndpointRegistry::new(config.site.zones.clone(), now, now);
         let discovery = DiscoveryClient::new(config.discovery);
-        Ok(Startup { config, net, requests, registry, discovery })
+        Ok(Startup { clock, config, net, requests, registry, discovery })
     }
 
     fn open_admin(&mut self) -> Result<Option<OpenedAdmin>, ServeError> {
