--- a/tests/clock_steps.rs
+++ b/tests/clock_steps.rs
@@ -6,8 +6,11 @@
 use rstest::rstest;
 use std::path::PathBuf;
 use std::process::Command;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use support::{accept_any, established_client, instance, listener, open_line, temp_file, Bench, Peer};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use support::{
+    accept_any, established_client, instance, listener, open_line, temp_file, Bench, HandoverFolder,
+    HandoverNode, Peer,
+};
 
 const HOUR: i64 = 3_600;
 /// Requests that arrive at once. Each has one first attempt.
@@ -16,6 +19,8 @@
 const MAX_AT_COLD_SERVER: usize = 6;
 /// What a warm one of two servers gets of a burst at least.
 const MIN_AT_WARM_SERVER: usize = 8;
+/// A watch that was alive a moment ago is silent for at least this long before it is given up.
+const MIN_SILENCE: Duration = Duration::from_millis(500);
 /// The node looks at the wall clock at least this often.
 const CLOCK_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -46,10 +51,15 @@
         now.as_millis() as i64 + seconds * 1_000
     }
 
+    /// What has a process use this clock.
+    fn env(&self) -> [(&str, &str); 2] {
+        let library = self.library.to_str().expect("a path");
+        let offset = self.offset.to_str().expect("a path");
+        [("LD_PRELOAD", library), ("CLOCK_OFFSET_FILE", offset)]
+    }
+
     fn start_node(&self, servers: usize, edit: fn(&str) -> String) -> Bench {
-        let path = |path: &PathBuf| path.to_str().expect("a path").to_string();
-        let (library, offset) = (path(&self.library), path(&self.offset));
-        let env = [("LD_PRELOAD", library.as_str()), ("CLOCK_OFFSET_FILE", offset.as_str())];
+        let env = self.env();
         Bench::with_env((0..servers).map(|_| listener()).collect(), None, &["--trace"], edit, &env)
     }
 }
@@ -127,3 +137,23 @@
     drop((client, attempt));
     bench.stop();
 }
+
+/// The watch that a successor takes over falls silent after a step: it is opened anew in time, since the successor goes on
+/// with its predecessor's clock.
+#[rstest]
+fn a_watch_that_was_handed_over_is_found_silent_after_a_step(#[values(-HOUR, HOUR)] step: i64) {
+    let clock = WallClock::new();
+    let mut node = HandoverNode::start_with_env(&HandoverFolder::new(), None, &clock.env());
+    let mut watch = node.bench.accept_watch();
+    watch.send("1\r\n\n\r\n");
+    clock.step(step);
+    let mut predecessor = node.start_successor();
+    predecessor.signal("-TERM");
+    predecessor.expect_success();
+    let handed_over_at = Instant::now();
+    node.bench.accept_watch();
+    assert!(
+        handed_over_at.elapsed() > MIN_SILENCE,
+        "it was opened anew at once: it had not been handed over"
+    );
+}
--- a/tests/support/handover.rs
+++ b/tests/support/handover.rs
@@ -51,12 +51,22 @@
 
     /// Starts a node in a folder; the AMQP front is on where its settings are given.
     pub fn start_in(folder: &HandoverFolder, amqp: Option<&str>) -> HandoverNode {
+        HandoverNode::start_with_env(folder, amqp, &[])
+    }
+
+    /// The same, in an environment with these variables too.
+    pub fn start_with_env(
+        folder: &HandoverFolder,
+        amqp: Option<&str>,
+        further_env: &[(&str, &str)],
+    ) -> HandoverNode {
         let passed_listener = listener();
         // Every process inherits it.
         rustix::io::fcntl_setfd(&passed_listener, rustix::io::FdFlags::empty()).expect("it can be inherited");
         let number = passed_listener.as_raw_fd().to_string();
-        let env =
+        let own_env =
             [("NODE_PASSED_SOCKET", number.as_str()), ("TMPDIR", folder.path.to_str().expect("a path"))];
+        let env = [&own_env, further_env].concat();
         let edit = |text: &str| text.replace(r#""listen":"#, r#""operator":"127.0.0.1:0","listen":"#);
         let mut bench = Bench::with_env(vec![listener()], amqp, &[], edit, &env);
         let passed = passed_listener.local_addr().expect("an address");
