Have a successor go on with its predecessor's clock

Cause: the handed-over times (watch, sessions, ejections, resets, handshakes) are the predecessor's, and the successor anchored a clock of its own at the wall clock, which may have stepped in between. Change: the state has the predecessor's clock, which the successor continues; without it, from an earlier version, the wall clock as before.

--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -72,6 +72,12 @@
         self.wall_clock.observe(now, wall);
     }
 
+    /// The node's clock was set to another process's, which it goes on with.
+    pub fn reset_clocks(&mut self, now: Nanos, wall: Nanos) {
+        self.now = now;
+        self.wall_clock = WallClock::new(now, wall);
+    }
+
     /// An endpoint by its id.
     pub fn entry(&self, server: ServerId) -> Option<&RegistryEntry> {
         self.entries.get(server.0 as usize)
--- a/src/handover/snapshot.rs
+++ b/src/handover/snapshot.rs
@@ -2,6 +2,7 @@
 
 use super::message::{Message, MessageError};
 use crate::discovery::EndpointListDocument;
+use crate::vocabulary::Nanos;
 use serde::{Deserialize, Serialize};
 
 /// The longest piece of the state.
@@ -24,6 +25,9 @@
     /// Descriptors that the process has open.
     #[serde(rename = "descriptors")]
     pub open_descriptors: usize,
+    /// The process's clock, by which all its times are: the successor goes on with it. Earlier versions do not tell it.
+    #[serde(default, rename = "clock", skip_serializing_if = "Option::is_none")]
+    pub clock: Option<Nanos>,
 }
 
 impl StateSnapshot {
--- a/src/handover/snapshot/tests.rs
+++ b/src/handover/snapshot/tests.rs
@@ -9,7 +9,7 @@
     let list = r#"{"generation":7,"reset":true,"instances":[{"instanceId":"s-è","hostPort":"10.0.0.1:80",
         "zone":"a","cell":3,"lifecycle":"draining","weight":2.0,"startedAtMs":12}]}"#;
     let endpoint_list = serde_json::from_str(list).expect("a list");
-    StateSnapshot { is_drained: true, endpoint_list, balancer_state, open_descriptors: 5 }
+    StateSnapshot { is_drained: true, endpoint_list, balancer_state, open_descriptors: 5, clock: None }
 }
 
 proptest! {
--- a/src/node/clock.rs
+++ b/src/node/clock.rs
@@ -15,6 +15,11 @@
         Clock { started: Instant::now(), started_unix: Clock::wall() }
     }
 
+    /// A clock that goes on from a time that another process's clock shows now.
+    pub(super) fn continuing(now: Nanos) -> Clock {
+        Clock { started: Instant::now(), started_unix: now }
+    }
+
     /// The wall clock, which may step: Unix time in nanoseconds.
     pub(super) fn wall() -> Nanos {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/src/node/handover_steps.rs
+++ b/src/node/handover_steps.rs
@@ -63,6 +63,7 @@
             endpoint_list: self.state.registry.snapshot(),
             balancer_state: self.state.requests.state_snapshot(),
             open_descriptors: self.state.net.descriptors_in_use(),
+            clock: Some(self.state.now()),
         };
         let listeners = self.state.net.listeners_except(TEXT_FRONT);
         let watch = self.discovery.release_watch(&mut self.state.net);
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -185,6 +185,11 @@
             self.requests.push_event(event);
             return Predecessor::default();
         };
+        if let Some(now) = snapshot.clock {
+            // The predecessor's times are this process's too, whatever the wall clock has done meanwhile.
+            self.clock = Clock::continuing(now);
+            self.registry.reset_clocks(now, Clock::wall());
+        }
         let list = &snapshot.endpoint_list;
         let event = self.discovery.take_over(&mut self.net, &mut self.registry, list, watch);
         self.requests.push_event(event);
