Show that a silent watch may be opened anew too late where nodes poll seldom

A watch is found silent after 4.2 s, a tick and perhaps a hold-up; the first poll waits up to min(AskWithinNs / 16, 2.5 s): with AskWithinNs of 60 s and 600 s, 7.1 s in all where 6 s are allowed.

--- a/src/resilience/poll_backoff/tests.rs
+++ b/src/resilience/poll_backoff/tests.rs
@@ -18,3 +18,15 @@
     let settings = Settings { discovery, poll_within: 16 * SECOND, ..Settings::default() };
     assert_eq!(max_poll_delay(&settings, failed_polls), limit);
 }
+
+/// A watch is found silent 4.2 s after its last byte, at the next tick (0.2 s) of a process that may be held up (0.15 s);
+/// the first poll after that has to be answered within 6 s, however seldom the settings have a node poll.
+#[rstest::rstest]
+fn the_first_poll_after_a_silent_watch_is_in_time(#[values(1, 16, 60, 600)] poll_within_seconds: u64) {
+    let poll_within = poll_within_seconds * SECOND;
+    let settings = Settings { discovery: Discovery::Polled, poll_within, ..Settings::default() };
+    let found_silent_after = SECOND * 455 / 100;
+    let answer_time = SECOND / 10;
+    let delay = max_poll_delay(&settings, 0).expect("it polls");
+    assert!(found_silent_after + delay + answer_time <= 6 * SECOND, "{delay}");
+}
