Bound the first poll after a silent watch so that a drain is told in 6 s

Cause: the first delay was AskWithinNs / 16 up to 2.5 s, behind 4.2 s of silence, a tick and perhaps a hold-up. Change: 1.25 s at most for the first poll.

--- a/src/resilience/poll_backoff.rs
+++ b/src/resilience/poll_backoff.rs
@@ -6,6 +6,9 @@
 /// A node counts as notified of a change 6 s after discovery had it and could be reached, whatever the settings
 /// allow after a failed poll. A poll that times out after 2 s, this delay and the next poll's answer fit into that.
 const MAX_POLL_DELAY: Nanos = 2_500_000_000;
+/// The same for the first poll after a watch that was open: that it fell silent was found out after 4.2 s, at the next
+/// tick (0.2 s), perhaps by a process that was held up (0.15 s), and the poll has to be answered too.
+const MAX_FIRST_POLL_DELAY: Nanos = 1_250_000_000;
 /// Polls of the machine's own agent cost nothing: the delay only bounds the rate at which a dead agent is polled.
 const AGENT_BASE_DELAY: Nanos = 10_000_000;
 const AGENT_MAX_DELAY: Nanos = 200_000_000;
@@ -19,7 +22,8 @@
         Discovery::Pushed => return None,
         Discovery::LocalAgent => (AGENT_BASE_DELAY, AGENT_MAX_DELAY),
         Discovery::Polled => {
-            (settings.poll_within / BASE_DELAY_DIVISOR, settings.poll_within.min(MAX_POLL_DELAY))
+            let base = settings.poll_within / BASE_DELAY_DIVISOR;
+            (base.min(MAX_FIRST_POLL_DELAY), settings.poll_within.min(MAX_POLL_DELAY))
         }
     };
     Some(full_jitter_limit(base, cap, failed_polls))
