--- a/src/net/transfer/tests.rs
+++ b/src/net/transfer/tests.rs
@@ -1,5 +1,10 @@
 use super::BufferedConnection;
+use crate::front_id::FrontId;
+use crate::net::{ListeningSocket, SocketOwner, SocketReactor};
 use rstest::rstest;
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::time::Duration;
 
 /// JSON that the code of version 00677b7 wrote: what a process of that version hands to this one.
 const AWAITING_HANDSHAKE: &str =
@@ -26,3 +31,25 @@
     assert_eq!(connection, expected);
     assert_eq!(serde_json::to_string(&connection).expect("writable"), json);
 }
+
+/// A process that hands a connection or a listening socket over may have left it blocking: no call on it waits here.
+#[test]
+fn what_was_handed_over_blocking_does_not_block() {
+    let (done, is_done) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let client = TcpStream::connect(addr).expect("it listens");
+        let (connection, _) = listener.accept().expect("it connects");
+        let mut net = SocketReactor::new(64).expect("epoll");
+        let connection = OwnedFd::from(connection);
+        let imported = net.import_connection(connection, BufferedConnection::default(), SocketOwner::Admin);
+        net.read_available(imported.expect("it is watched"));
+        net.inherit_listeners(vec![ListeningSocket { addr, fd: OwnedFd::from(listener) }]);
+        net.listen(addr, SocketOwner::Front(FrontId { index: 0, name: "text" })).expect("it is inherited");
+        assert!(!net.accept_waiting(), "nobody waits");
+        drop(client);
+        done.send(()).expect("the test waits");
+    });
+    is_done.recv_timeout(Duration::from_secs(5)).expect("a call blocks");
+}
