Make handed-over descriptors non-blocking, and end a fence with the lease it protects

Cause: import_connection and inherited listeners took the descriptor as it came; latest_incarnations never forgot an incarnation. Change: both are made non-blocking; once the lease of the latest incarnation is over, levels included, it fences nobody.

--- a/crates/quota/src/lease_table.rs
+++ b/crates/quota/src/lease_table.rs
@@ -104,6 +104,7 @@
         }
         if expiry.includes_levels {
             self.leases.remove(&expiry.holder);
+            self.lift_fence(expiry.holder);
             return;
         }
         for (allotment, quota) in lease.allotments.iter_mut().zip(&self.plan.quotas) {
@@ -114,6 +115,14 @@
         lease.wanted.fill(0);
     }
 
+    /// A holder's lease is over. It fences earlier incarnations of its member no longer: a member whose clock went back
+    /// between two starts has a lower incarnation than the process before.
+    fn lift_fence(&mut self, holder: HolderId) {
+        if self.latest_incarnations.get(&holder.member) == Some(&holder.incarnation) {
+            self.latest_incarnations.remove(&holder.member);
+        }
+    }
+
     /// Lowers the allotments of a request's sender to what it retains; false if the request is not to
     /// be answered.
     fn lower_to_retained(&mut self, request: &LeaseRequest) -> bool {
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -50,6 +50,7 @@
         let inherited = self.inherited_listeners.iter().position(|listener| matches_addr(&listener.addr));
         if let Some(index) = inherited {
             let ListeningSocket { addr, fd } = self.inherited_listeners.remove(index);
+            rustix::io::ioctl_fionbio(&fd, true)?;
             return Ok(BoundListener { token: self.insert(fd, owner, SocketState::Listening)?, addr });
         }
         let fd = system::stream_socket(addr)?;
--- a/src/net/transfer.rs
+++ b/src/net/transfer.rs
@@ -82,13 +82,14 @@
     /// Goes on with a connection that another process exported.
     ///
     /// # Errors
-    /// Where it cannot be watched.
+    /// Where it cannot be made non-blocking or watched.
     pub fn import_connection(
         &mut self,
         fd: OwnedFd,
         connection: BufferedConnection,
         owner: SocketOwner,
     ) -> io::Result<Token> {
+        rustix::io::ioctl_fionbio(&fd, true)?;
         let token = self.insert(fd, owner, SocketState::Open)?;
         if let Some(socket) = self.sockets.get_mut(token) {
             socket.input = connection.input;
