--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -23,7 +23,7 @@
     DescriptorShortage,
     /// A server drains, and returns later.
     Drain,
-    /// All open watches fall silent.
+    /// All open watches fall silent, and a server drains.
     SilentWatches,
     /// All open watches are reset.
     ResetWatches,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -26,6 +26,8 @@
 const FAULT_MS: std::ops::Range<u64> = 150..1_600;
 /// A shortage of descriptors lasts for a moment: within the time that an answer may be late.
 const SHORTAGE_MS: u64 = 400;
+/// A drain that no watch tells lasts until it counts as told, and some time more.
+const UNTOLD_DRAIN: Duration = Duration::from_millis(5_500);
 /// After the last fault the run goes on for this long, and the clients then stop for as long.
 const QUIET: Duration = Duration::from_millis(2_500);
 
@@ -112,7 +114,11 @@
                 self.nodes.starve_of_descriptors(node, moment).await;
             }
             Fault::Drain => self.drain_server(target, duration).await,
-            Fault::SilentWatches => self.discovery.silence_watches(),
+            Fault::SilentWatches => {
+                self.discovery.silence_watches();
+                // A silence without news is none.
+                self.drain_server(target, UNTOLD_DRAIN).await;
+            }
             Fault::ResetWatches => self.discovery.reset_watches(),
             Fault::DiscoveryDown => self.set_discovery(discovery::Mode::Down, duration).await,
             Fault::DiscoveryRejects => self.set_discovery(discovery::Mode::Rejects, duration).await,
