Ignore SIGHUP until the program has its handlers; let the soak's servers wait for the end

Change: run in the deploy file traps HUP before exec, which the program's handlers replace; what such a SIGHUP announces is read by the start anyway. The soak starts its nodes alike.

--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -117,8 +117,10 @@
         self.judge.borrow_mut().on_start(number);
         self.write_config(number);
         let log = File::create(self.file(number, &format!("{}.log", node.starts.get()))).expect("a log");
-        let mut command = Command::new(&self.options.program);
-        command.args(["serve", "--trace"]).env("NODE_CONFIG", self.file(number, "config.json"));
+        // As the deploy file has it: a SIGHUP before the program has its handlers must not end it.
+        let mut command = Command::new("sh");
+        command.args(["-c", "trap '' HUP; exec \"$0\" serve --trace"]).arg(&self.options.program);
+        command.env("NODE_CONFIG", self.file(number, "config.json"));
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         for name in ["NODE_NAME", "NODE_LISTEN", "NODE_OPERATOR", "NODE_DISCOVERY", "NODE_PASSED_SOCKET"] {
             command.env_remove(name);
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -19,6 +19,8 @@
 const ANSWER_TIME: Duration = Duration::from_millis(5);
 /// A late one takes longer than an attempt's time.
 const LATE_ANSWER_TIME: Duration = Duration::from_millis(420);
+/// A server waits this long for the other side's end.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Lines of a burst.
 const BURST_LINES: usize = 200_000;
 
@@ -241,7 +243,8 @@
         let burst = "B 0123456789abcdef\r\n".repeat(lines) + "BYE\r\n";
         if write.write_all(burst.as_bytes()).await.is_ok() {
             let _ = write.shutdown().await;
-            let _ = timeout(Duration::from_secs(5), drain(&mut read)).await;
+            // A close over unread lines of the client would reset what is still on its way.
+            let _ = timeout(CLOSE_TIMEOUT, drain(&mut read)).await;
         }
     }
 }
