--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -216,7 +216,7 @@
             let written_at = Instant::now();
             loop {
                 let wait = LINE_INTERVAL.saturating_sub(written_at.elapsed());
-                match timeout(wait, read.read_line(&mut lines.partial)).await {
+                match timeout(wait, read.read_until(b'\n', &mut lines.partial)).await {
                     Err(_) => break,
                     Ok(Ok(count)) if count > 0 => lines.take(),
                     Ok(ended) => return self.check_end(node, incarnation, id, &lines, &format!("{ended:?}")),
@@ -271,7 +271,8 @@
 
 /// What a session has received.
 struct Lines {
-    partial: String,
+    /// What has come of the next line. A `read_line` that is given up loses it; `read_until` does not.
+    partial: Vec<u8>,
     last: String,
     last_at: Instant,
     burst: usize,
@@ -279,14 +280,15 @@
 
 impl Default for Lines {
     fn default() -> Lines {
-        Lines { partial: String::new(), last: String::new(), last_at: Instant::now(), burst: 0 }
+        Lines { partial: Vec::new(), last: String::new(), last_at: Instant::now(), burst: 0 }
     }
 }
 
 impl Lines {
     /// A line is complete.
     fn take(&mut self) {
-        self.last = std::mem::take(&mut self.partial).trim_end().to_string();
+        self.last = String::from_utf8_lossy(&self.partial).trim_end().to_string();
+        self.partial.clear();
         self.last_at = Instant::now();
         self.burst += usize::from(self.last.starts_with("B "));
     }
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -213,13 +213,14 @@
         if write.write_all(b"UP r1\r\n").await.is_err() {
             return;
         }
-        line.clear();
+        // A `read_line` that is given up loses what it has read; `read_until` does not.
+        let mut echoed = Vec::new();
         loop {
-            if let Ok(result) = timeout(COMMAND_INTERVAL, read.read_line(&mut line)).await {
-                if !result.is_ok_and(|count| count > 0) || write.write_all(line.as_bytes()).await.is_err() {
+            if let Ok(result) = timeout(COMMAND_INTERVAL, read.read_until(b'\n', &mut echoed)).await {
+                if !result.is_ok_and(|count| count > 0) || write.write_all(&echoed).await.is_err() {
                     return;
                 }
-                line.clear();
+                echoed.clear();
             }
             let (latest, end) = self.servers[number].command.get();
             if latest != command {
