--- a/src/node/commands.rs
+++ b/src/node/commands.rs
@@ -70,7 +70,7 @@
         let attempt = self.state.requests.attempt_number(request_id);
         let (request, ms) = (request_id.0, timeout / 1_000_000);
         log::trace(format_args!(
-            "trace attempt request={request} number={attempt} server={} ms={ms}",
+            "trace connecting request={request} number={attempt} server={} ms={ms}",
             server.0
         ));
         self.state.wheel.schedule(now + timeout, TimerEvent::AttemptTimeout(request_id, attempt));
--- a/tests/text_overload.rs
+++ b/tests/text_overload.rs
@@ -124,3 +124,16 @@
     limit_descriptors(&bench, 64);
     bench.accept_watch();
 }
+
+/// A client that is evicted for a descriptor has its answer, as a request that crosses the end has: it may be on its way.
+#[test]
+fn an_evicted_client_has_its_answer() {
+    let bench = Bench::start(1);
+    let mut half_a_line = Peer::connect(bench.addr);
+    half_a_line.send("OPEN 9b1f 7f3a c=li");
+    let mut resting = Peer::connect(bench.addr);
+    assert_eq!(bench.connect_client("PING").read_line(), "PONG");
+    limit_descriptors(&bench, 4);
+    let _next: Vec<Peer> = (0..4).map(|_| Peer::connect(bench.addr)).collect();
+    assert_eq!([half_a_line.read_line(), resting.read_line()], ["BUSY", "BUSY"]);
+}
