Tell an evicted client BUSY before its connection is closed

Cause: evict_unless_complete dropped the socket; a request within its line, or on its way, met an end without an answer. Change: the text front names what an evicted peer is sent, until a PING has been answered. The test of idle clients read the end alone and reads BUSY and the end now, which is more.

--- a/src/front/text/client_side.rs
+++ b/src/front/text/client_side.rs
@@ -39,6 +39,7 @@
                     // What is not PONG tells the load balancer in front of the nodes to send no clients here.
                     let answer: &[u8] = if ctx.accepts_clients { b"PONG\r\n" } else { b"BUSY\r\n" };
                     ctx.net.send(token, answer);
+                    ctx.net.set_farewell(token, None);
                 }
                 Some(RequestLine::Open(open)) => return self.open_request(ctx, token, open),
                 None => return self.reject_malformed(ctx, token),
--- a/src/front/text/mod.rs
+++ b/src/front/text/mod.rs
@@ -124,6 +124,7 @@
         match event.kind {
             SocketEventKind::Accepted => {
                 self.connections.insert(token, ConnectionRole::AwaitingRequest { pings: 0 });
+                ctx.net.set_farewell(token, Some(b"BUSY\r\n"));
             }
             SocketEventKind::Evicted => {
                 ctx.requests.counters.idle_closed += 1;
--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -4,6 +4,7 @@
 use super::reactor::SocketReactor;
 use super::slab::Token;
 use super::socket::{Socket, SocketState};
+use super::system;
 use crate::vocabulary::Nanos;
 
 /// Descriptors that no attempt takes: for the list's watch and the one after it, and for what is open beside the
@@ -89,11 +90,23 @@
         let Some(socket) = self.sockets.get(token) else { return };
         if socket.awaiting_handshake && socket.state == SocketState::Open {
             let owner = socket.owner;
+            if let Some(farewell) = socket.farewell {
+                // As much as the peer takes at once: a request may be on its way that crosses the end.
+                let _ = system::write(&socket.fd, farewell);
+            }
             self.pending_events.push(SocketEvent { token, owner, kind: SocketEventKind::Evicted });
             self.drop_socket(token);
         }
     }
 
+    /// What a peer is sent if its connection is evicted before its handshake is complete; none is sent where it has had
+    /// an answer already.
+    pub fn set_farewell(&mut self, token: Token, farewell: Option<&'static [u8]>) {
+        if let Some(socket) = self.sockets.get_mut(token) {
+            socket.farewell = farewell;
+        }
+    }
+
     /// When the handshake of a connection must be complete, if it is not yet.
     pub(super) fn handshake_deadline(&self, token: Token) -> Option<Nanos> {
         if !self.sockets.get(token)?.awaiting_handshake {
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -57,6 +57,8 @@
     pub(super) bytes_written: u64,
     /// What epoll watches it for.
     pub(super) interest: Interest,
+    /// What its peer is sent if it is evicted.
+    pub(super) farewell: Option<&'static [u8]>,
     /// It is neither read nor written for a moment, for want of kernel memory.
     pub(super) is_paused: bool,
     /// Whether epoll knows of it.
@@ -85,6 +87,7 @@
             output: Vec::new(),
             bytes_written: 0,
             interest,
+            farewell: None,
             is_paused: false,
             watch: WatchState::Current,
             awaiting_handshake: false,
--- a/tests/text_overload.rs
+++ b/tests/text_overload.rs
@@ -33,6 +33,7 @@
     // The node may hold 256 sockets and reserves some for established connections.
     let mut idle: Vec<Peer> = (0..400).map(|_| Peer::connect(bench.addr)).collect();
     let _established = established_client(&bench, 0x9b1f);
+    assert_eq!(idle[0].read_line(), "BUSY", "a request of its may be on its way");
     idle[0].expect_closed();
     let counters = bench.stop();
     assert_eq!(counter_values(&counters, ["capacity_rejected", "served"]), [0, 1]);
