--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -31,6 +31,8 @@
 const FIRST_ADDRESS: u32 = 0x7f50_0000;
 const ADDRESS_BLOCKS: u32 = 16_000;
 const ADDRESSES_PER_BLOCK: u32 = 256;
+/// The shell that starts a node has its trap within this.
+const SHELL_TIME: Duration = Duration::from_millis(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Log lines that say that a node broke a rule.
 const BROKEN_RULE_MARKS: [&str; 2] = ["invariant-violated", "panicked"];
@@ -42,6 +44,7 @@
     /// A restart is under way.
     is_restarting: Cell<bool>,
     starts: Cell<u64>,
+    started_at: Cell<Instant>,
     stalled: Cell<Duration>,
 }
 
@@ -66,6 +69,7 @@
             is_accepting: Cell::new(false),
             is_restarting: Cell::new(false),
             starts: Cell::new(0),
+            started_at: Cell::new(Instant::now()),
             stalled: Cell::new(Duration::ZERO),
         };
         let nodes = (0..options.nodes).map(node).collect();
@@ -127,6 +131,7 @@
         }
         *node.child.borrow_mut() = Some(command.spawn().expect("the program starts"));
         let started_at = Instant::now();
+        node.started_at.set(started_at);
         while !answers_ping(node.address).await {
             if started_at.elapsed() > READY_TIMEOUT {
                 return self.judge.borrow_mut().report("ready", format!("node {number} is not ready"));
@@ -248,7 +253,10 @@
     pub fn reload(&self) {
         for number in 0..self.len() {
             self.write_config(number);
-            self.signal(number, Signal::HUP);
+            // Before the shell has its trap a signal meets no program of ours; the start reads the configuration anyway.
+            if self.nodes[number].started_at.get().elapsed() > SHELL_TIME {
+                self.signal(number, Signal::HUP);
+            }
         }
     }
 
