--- a/tests/forwarding_races.rs
+++ b/tests/forwarding_races.rs
@@ -4,7 +4,7 @@
 
 use std::io::Write;
 use std::time::Duration;
-use support::{established_client, Bench};
+use support::{counter_value, established_client, Bench};
 
 /// More than the node and the kernel buffer between a server and a client that does not read.
 const BURST_LINES: usize = 400_000;
@@ -32,3 +32,15 @@
     assert_eq!(received.lines().last(), Some("BYE"));
     sending.join().expect("all is sent");
 }
+
+/// A server that sends what is no line any more cannot be used: its client goes on elsewhere, and is not cut off.
+#[test]
+fn the_client_of_a_server_whose_line_has_no_end_is_migrated() {
+    let bench = Bench::start(1);
+    let (mut client, mut attempt) = established_client(&bench, 1);
+    attempt.send("M 1\r\n").send(&"x".repeat(5_000));
+    assert_eq!([client.read_line(), client.read_line()], ["M 1", "MOVE"]);
+    client.expect_closed();
+    let counters = bench.stop();
+    assert_eq!(counter_value(&counters, "invariant_violations"), 0);
+}
