Log how a closed connection ended and what was left unread and unwritten

Change: trace lines 'session closing', 'connection failed' and 'closed connection released' with the peers' states, unwritten and unread bytes, error and limit; the soak's report of a cut-off burst has the read's result and the time since the server's end.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -278,11 +278,13 @@
             ended.end != SessionEnd::Reset && (lines.burst_lines < ended.lines || lines.last != "BYE");
         if is_truncated {
             let (received, sent) = (lines.burst_lines, ended.lines);
+            let partial = lines.partial.len();
+            let (last, after) = (&lines.last, ended.at.elapsed());
             checker.report(
                 Rule::CutOff,
                 format!(
-                    "{id} at node {node}: received {received} of {sent} lines, last line {:?}",
-                    lines.last
+                    "{id} at node {node}: received {received} of {sent} lines and {partial} bytes, last line \
+                     {last:?}, read {read_result} {after:?} after its server ended the session"
                 ),
             );
         }
--- a/src/frontend/text/session_end.rs
+++ b/src/frontend/text/session_end.rs
@@ -157,11 +157,53 @@
 /// Removes a client's session and closes its connection to the server.
 fn remove_session(sessions: &mut Sessions, ctx: &mut FrontendContext, client: Token) {
     if let Some(session) = sessions.remove(client) {
+        trace_close(ctx, client, &session);
         finish_session(ctx, &session);
         close_server_connection(ctx, session.state());
     }
 }
 
+/// Logs, at trace level, how far the two connections of a session have come when the node closes them.
+fn trace_close(ctx: &FrontendContext, client: Token, session: &Session) {
+    if !tracing::enabled!(tracing::Level::TRACE) {
+        return;
+    }
+    let server = session.server_connection();
+    tracing::trace!(
+        request = session.request_number(),
+        client_connection = %client,
+        client_peer = ?PeerState::of(ctx, client),
+        client_unwritten_bytes = ctx.net.pending_output_bytes(client),
+        server_connection = %server.map_or("-".to_string(), |server| server.to_string()),
+        server_peer = ?server.map(|server| PeerState::of(ctx, server)),
+        server_unwritten_bytes = server.map_or(0, |server| ctx.net.pending_output_bytes(server)),
+        "session closing"
+    );
+}
+
+/// What the peer of a connection has done to it, for log events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PeerState {
+    /// The peer may still send.
+    Open,
+    /// The peer has closed its write side.
+    Ended,
+    /// The connection has failed.
+    Failed,
+}
+
+impl PeerState {
+    fn of(ctx: &FrontendContext, token: Token) -> PeerState {
+        if ctx.net.is_failed(token) {
+            PeerState::Failed
+        } else if ctx.net.is_read_closed(token) {
+            PeerState::Ended
+        } else {
+            PeerState::Open
+        }
+    }
+}
+
 /// Logs the end of a removed session and checks its invariants.
 pub(super) fn finish_session(ctx: &mut FrontendContext, session: &Session) {
     session.trace("ended", ctx);
--- a/src/net/buffered_sockets.rs
+++ b/src/net/buffered_sockets.rs
@@ -1,6 +1,7 @@
 //! Reading, writing and closing buffered connections.
 
 use super::event::SocketEventKind;
+use super::linger::{release, LingerEnd};
 use super::slab::Token;
 use super::socket::{Socket, SocketState};
 use super::socket_store::SocketStore;
@@ -68,7 +69,7 @@
             Ok(count) => self.buffer_input(token, count),
             Err(Errno::AGAIN | Errno::INTR) => {}
             Err(error) if is_transfer_shortage(error) => self.pause(token),
-            Err(_) => self.fail(token),
+            Err(error) => self.fail(token, Some(error)),
         }
     }
 
@@ -76,7 +77,7 @@
         let Some(socket) = self.store.get_mut(token) else { return };
         socket.mark_read_closed();
         if socket.is_lingering() && socket.is_fully_closed() {
-            return self.store.close(token);
+            return release(&mut self.store, token, LingerEnd::Complete);
         }
         self.store.emit(token, SocketEventKind::Readable);
     }
@@ -84,7 +85,7 @@
     fn discard_input(&mut self, token: Token, count: usize) {
         let Some(socket) = self.store.get_mut(token) else { return };
         if socket.record_discarded(count) {
-            self.store.close(token);
+            release(&mut self.store, token, LingerEnd::DiscardLimit);
         }
     }
 
@@ -112,7 +113,7 @@
         match written {
             Ok(()) | Err(Errno::AGAIN) => self.store.update_interest(token),
             Err(error) if is_transfer_shortage(error) => self.pause(token),
-            Err(_) => self.fail(token),
+            Err(error) => self.fail(token, Some(error)),
         }
     }
 
@@ -144,8 +145,8 @@
                 self.pause(token);
                 return false;
             }
-            Err(_) => {
-                self.fail(token);
+            Err(error) => {
+                self.fail(token, Some(error));
                 return false;
             }
         }
@@ -153,7 +154,7 @@
             // An error means that the peer has already closed the connection.
             let _ = rustix::net::shutdown(&socket.fd, Shutdown::Write);
             if socket.is_lingering() && socket.is_read_closed() {
-                self.store.close(token);
+                release(&mut self.store, token, LingerEnd::Complete);
                 return false;
             }
         }
@@ -198,17 +199,18 @@
     /// Closes the connection once its output is written and the peer has closed its write side. A connection
     /// that is not established is closed immediately.
     pub(super) fn close(&mut self, token: Token) -> CloseStatus {
+        let now = self.store.now();
         let Some(socket) = self.store.get_mut(token) else { return CloseStatus::Complete };
         if matches!(socket.state(), SocketState::Connecting | SocketState::Failed | SocketState::Raw) {
             self.store.close(token);
             return CloseStatus::Complete;
         }
-        socket.begin_lingering();
+        socket.begin_lingering(now);
         self.write_output(token);
         match self.store.get(token) {
             None => CloseStatus::Complete,
             Some(socket) if socket.is_fully_closed() => {
-                self.store.close(token);
+                release(&mut self.store, token, LingerEnd::Complete);
                 CloseStatus::Complete
             }
             Some(_) => {
@@ -228,19 +230,21 @@
     }
 
     /// Marks the connection as failed: it could not be established or was reset. Whatever has arrived is read
-    /// first, because a peer may send its answer and reset the connection before it has read our request.
-    pub(super) fn fail(&mut self, token: Token) {
+    /// first, because a peer may send its answer and reset the connection before it has read our request. `error` is
+    /// that of the failed read or write, `None` if epoll reported the failure.
+    pub(super) fn fail(&mut self, token: Token, error: Option<Errno>) {
         let Some(socket) = self.store.get_mut(token) else { return };
         if socket.state() == SocketState::Failed {
             return;
         }
         if socket.is_lingering() {
-            return self.store.close(token);
+            return release(&mut self.store, token, LingerEnd::Failed(error));
         }
         let was_connected = socket.state() != SocketState::Connecting;
         let all_written = was_connected && socket.buffers.pending_output_bytes() == 0;
         socket.buffers.read_after_failure(&socket.fd, &mut self.read_chunk);
         socket.fail();
+        tracing::trace!(connection = %token, ?error, all_written, "connection failed");
         self.store.deregister(token);
         self.store.emit(token, SocketEventKind::Failed { all_written });
     }
--- a/src/net/connect.rs
+++ b/src/net/connect.rs
@@ -42,8 +42,8 @@
     /// Handles readiness of a socket that is connecting.
     pub(super) fn on_ready(&mut self, sockets: &mut BufferedSockets, token: Token, flags: Interest) {
         let Some(socket) = sockets.store.get_mut(token) else { return };
-        if let Ok(Err(_)) | Err(_) = sockopt::socket_error(&socket.fd) {
-            return sockets.fail(token);
+        if let Ok(Err(error)) | Err(error) = sockopt::socket_error(&socket.fd) {
+            return sockets.fail(token, Some(error));
         }
         if flags.contains(Interest::OUT) {
             socket.establish();
--- a/src/net/eviction.rs
+++ b/src/net/eviction.rs
@@ -5,6 +5,7 @@
 use super::buffered_sockets::{BufferedSockets, CloseStatus};
 use super::deadlines::DeadlineQueue;
 use super::event::SocketEventKind;
+use super::linger::{release, LingerEnd};
 use super::slab::Token;
 use super::socket::Socket;
 use super::socket_store::SocketStore;
@@ -39,7 +40,7 @@
     /// Closes the connections whose wait for the peer has expired.
     pub(super) fn close_expired_lingering(&mut self, store: &mut SocketStore) {
         while let Some(token) = self.lingering.pop_expired(store.now()) {
-            store.close(token);
+            release(store, token, LingerEnd::TimedOut);
         }
     }
 
@@ -89,7 +90,7 @@
     /// Evicts one connection. Returns false if there is no candidate.
     pub(super) fn evict(&mut self, sockets: &mut BufferedSockets) -> bool {
         if let Some(deadline) = self.lingering.pop_earliest() {
-            sockets.store.close(deadline.token());
+            release(&mut sockets.store, deadline.token(), LingerEnd::Evicted);
             return true;
         }
         let mut skipped = Vec::new();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -22,6 +22,7 @@
 //! | `socket_store` | all sockets |
 //! | `deadlines` | queues of socket deadlines |
 //! | `transfer_pause` | pauses of connections whose reads or writes fail for lack of kernel memory |
+//! | `linger` | releasing closed connections whose output or peer was not finished |
 //! | `buffered_sockets` | reading, writing and closing buffered connections |
 //! | `eviction` | eviction order, and time limits of lingering connections and incomplete handshakes |
 //! | `listener`, `accept` | listening sockets; accepting connections, and its backpressure |
@@ -41,6 +42,7 @@
 mod event;
 mod event_queue;
 mod eviction;
+mod linger;
 mod listener;
 mod poller;
 mod reactor;
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -124,7 +124,7 @@
         if flags.contains(Interest::IN) {
             self.sockets.read(token);
         } else if flags.contains(Interest::ERR) || hung_up {
-            return self.sockets.fail(token);
+            return self.sockets.fail(token, None);
         }
         if flags.contains(Interest::OUT) {
             self.sockets.write(token);
--- a/src/net/slab.rs
+++ b/src/net/slab.rs
@@ -1,6 +1,8 @@
 //! A slab whose slots have generation counters, so that a token never refers to a later value in the same
 //! slot.
 
+use std::fmt;
+
 /// Identifies a socket by its slot and the slot's generation. A token that outlives its socket does not refer
 /// to the next socket in the same slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -36,6 +38,13 @@
     }
 }
 
+/// The slot and its generation, for log events.
+impl fmt::Display for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.index(), self.generation())
+    }
+}
+
 struct Slot<T> {
     /// Incremented each time the slot is vacated.
     generation: u32,
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -5,6 +5,7 @@
 use super::event::SocketOwner;
 use super::slab::Token;
 use super::system::Interest;
+use sparbank_time::MonotonicTime;
 use std::os::fd::OwnedFd;
 
 /// How many bytes a peer may send after its connection was closed here. Beyond this the socket is closed, and
@@ -24,7 +25,7 @@
     Failed,
     /// The owner has closed the connection. Up to this many bytes from the peer are read and discarded,
     /// because closing with unread input would send a reset that may overtake our last output.
-    Lingering { discard_budget_bytes: usize },
+    Lingering { since: MonotonicTime, discard_budget_bytes: usize },
     /// The owner reads and writes the descriptor directly
     /// ([`SocketReactor::raw_descriptor`](super::SocketReactor::raw_descriptor)).
     Raw,
@@ -105,6 +106,14 @@
         matches!(self.state, SocketState::Lingering { .. })
     }
 
+    /// When the owner closed the connection; the latest time if it has not.
+    pub(super) fn lingering_since(&self) -> MonotonicTime {
+        match self.state {
+            SocketState::Lingering { since, .. } => since,
+            _ => MonotonicTime::MAX,
+        }
+    }
+
     /// Whether this is a listener of a frontend.
     pub(super) fn is_frontend_listener(&self) -> bool {
         self.state == SocketState::Listening && matches!(self.owner, SocketOwner::Frontend(_))
@@ -182,9 +191,9 @@
 
     /// Starts the close: input is discarded from now on, and the write direction is shut down once the
     /// buffered output is written.
-    pub(super) fn begin_lingering(&mut self) {
+    pub(super) fn begin_lingering(&mut self, now: MonotonicTime) {
         if !self.is_lingering() {
-            self.state = SocketState::Lingering { discard_budget_bytes: LINGER_DISCARD_BYTES };
+            self.state = SocketState::Lingering { since: now, discard_budget_bytes: LINGER_DISCARD_BYTES };
         }
         *self.buffers.input_mut() = Vec::new();
         self.request_shutdown();
@@ -193,7 +202,7 @@
     /// Counts input that was discarded after the close. Returns whether the limit on discarded bytes is
     /// reached.
     pub(super) fn record_discarded(&mut self, count: usize) -> bool {
-        let SocketState::Lingering { discard_budget_bytes } = &mut self.state else { return false };
+        let SocketState::Lingering { discard_budget_bytes, .. } = &mut self.state else { return false };
         *discard_budget_bytes = discard_budget_bytes.saturating_sub(count);
         *discard_budget_bytes == 0
     }
