Let the peers of an ended session read their last lines for 30 s instead of 1 s

Cause: close() waits 1 s for the peer to close its side, also where the kernel still holds megabytes that the peer has not read. Then the descriptor is closed, and the next line of the peer draws a reset that discards the rest.

Fix: the connections of established sessions are closed with close_after_delivery, which waits up to 30 s and discards input meanwhile; they are evicted last when descriptors are short. An eviction skips entries whose connections are closed already, so that each eviction frees a descriptor.

Tests that failed before: a_client_that_reads_its_servers_last_lines_late_gets_all_of_them_and_the_close (2849 of 40001 lines), a_client_that_reads_late_when_it_is_migrated_gets_all_lines_and_move (2849 of 40001), a_server_that_reads_a_closed_clients_last_lines_late_gets_all_of_them (3200 of 40000).

--- a/src/frontend/text/handover.rs
+++ b/src/frontend/text/handover.rs
@@ -175,8 +175,8 @@
         // The request line is invalid under this process's classes, or the server is unknown here: the client has to
         // reconnect, and a server is selected again.
         ctx.net.send(client, b"MOVE\r\n");
-        ctx.net.close(client);
-        ctx.net.close(server_connection);
+        ctx.net.close_after_delivery(client);
+        ctx.net.close_after_delivery(server_connection);
         return ImportedClient::Migrated;
     };
     let connection = HandedOverConnection {
--- a/src/frontend/text/session_end.rs
+++ b/src/frontend/text/session_end.rs
@@ -28,8 +28,7 @@
         trace_answer(session.request_number(), &session.open().id, answer);
     }
     ctx.net.send(client, answer);
-    remove_session(sessions, ctx, client);
-    ctx.net.close(client);
+    close_session(sessions, ctx, client);
 }
 
 /// Counts a malformed request, answers the client `ERR` and closes its connection.
@@ -119,7 +118,9 @@
             ctx.net.close_without_flush(attempt.server_connection);
         }
         SessionState::Attempting(attempt) => ctx.net.close(attempt.server_connection),
-        SessionState::Established(established) => ctx.net.close(established.server_connection),
+        SessionState::Established(established) => {
+            ctx.net.close_after_delivery(established.server_connection);
+        }
     }
 }
 
@@ -150,16 +151,20 @@
             }
         }
     }
-    remove_session(sessions, ctx, client);
-    ctx.net.close(client);
-}
-
-/// Removes a client's session and closes its connection to the server.
-fn remove_session(sessions: &mut Sessions, ctx: &mut FrontendContext, client: Token) {
-    if let Some(session) = sessions.remove(client) {
-        trace_close(ctx, client, &session);
-        finish_session(ctx, &session);
-        close_server_connection(ctx, session.state());
+    close_session(sessions, ctx, client);
+}
+
+/// Removes a client's session and closes its connections. Both peers of an established session still get what was
+/// forwarded to them.
+fn close_session(sessions: &mut Sessions, ctx: &mut FrontendContext, client: Token) {
+    let Some(session) = sessions.remove(client) else { return ctx.net.close(client) };
+    trace_close(ctx, client, &session);
+    finish_session(ctx, &session);
+    close_server_connection(ctx, session.state());
+    if session.is_established() {
+        ctx.net.close_after_delivery(client);
+    } else {
+        ctx.net.close(client);
     }
 }
 
--- a/src/net/deadlines.rs
+++ b/src/net/deadlines.rs
@@ -36,6 +36,13 @@
         self.entries.insert(index, SocketDeadline { at, token });
     }
 
+    /// Removes the entries at the front whose sockets match a predicate.
+    pub(super) fn drop_front_while(&mut self, predicate: impl Fn(Token) -> bool) {
+        while self.entries.front().is_some_and(|deadline| predicate(deadline.token)) {
+            self.entries.pop_front();
+        }
+    }
+
     /// Takes the earliest deadline if it has been reached.
     pub(super) fn pop_expired(&mut self, now: MonotonicTime) -> Option<Token> {
         if self.entries.front()?.at > now {
--- a/src/net/eviction.rs
+++ b/src/net/eviction.rs
@@ -15,6 +15,8 @@
 
 /// How long a closed connection waits for the peer to close its side.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a connection that was closed after delivery waits for the peer to read its output and close its side.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time limit for an accepted peer to complete its handshake. The guaranteed limit is 3 s; this is shorter by
 /// more than one iteration of the event loop, so that the limit is kept.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(2_600);
@@ -24,6 +26,8 @@
 pub(super) struct EvictionCandidates {
     /// Closed connections that wait for the peer to close its side, ordered by time of close.
     lingering: DeadlineQueue,
+    /// Closed connections whose peers may still have much output to read, ordered by time of close.
+    delivering: DeadlineQueue,
     /// Accepted connections whose handshake may be incomplete, ordered by deadline.
     awaiting_handshake: DeadlineQueue,
 }
@@ -37,16 +41,28 @@
         }
     }
 
+    /// Like [`EvictionCandidates::close`], but waits up to [`DELIVERY_TIMEOUT`].
+    pub(super) fn close_after_delivery(&mut self, sockets: &mut BufferedSockets, token: Token) {
+        if sockets.close(token) == CloseStatus::Lingering {
+            // Most peers close within milliseconds, long before their deadlines.
+            self.delivering.drop_front_while(|token| sockets.store.get(token).is_none());
+            self.delivering.push_latest(sockets.store.now() + DELIVERY_TIMEOUT, token);
+        }
+    }
+
     /// Closes the connections whose wait for the peer has expired.
     pub(super) fn close_expired_lingering(&mut self, store: &mut SocketStore) {
-        while let Some(token) = self.lingering.pop_expired(store.now()) {
-            release(store, token, LingerEnd::TimedOut);
+        for queue in [&mut self.lingering, &mut self.delivering] {
+            while let Some(token) = queue.pop_expired(store.now()) {
+                release(store, token, LingerEnd::TimedOut);
+            }
         }
     }
 
     /// Whether both sides of every closed connection have finished closing.
     pub(super) fn all_closes_complete(&self, store: &SocketStore) -> bool {
-        self.lingering.tokens().all(|token| store.get(token).is_none())
+        let mut closed = self.lingering.tokens().chain(self.delivering.tokens());
+        closed.all(|token| store.get(token).is_none())
     }
 
     /// Starts the time limit for the handshake of an accepted connection.
@@ -76,8 +92,8 @@
         }
     }
 
-    /// Evicts connections while descriptors are short: lingering connections first, oldest first, then those
-    /// with an incomplete handshake. Returns false if only connections in use are left.
+    /// Evicts connections while descriptors are short, in the order of [`EvictionCandidates::evict`]. Returns false if
+    /// only connections in use are left.
     pub(super) fn reclaim_descriptors(&mut self, sockets: &mut BufferedSockets) -> bool {
         while sockets.store.is_short_of_descriptors() {
             if !self.evict(sockets) {
@@ -87,12 +103,16 @@
         true
     }
 
-    /// Evicts one connection. Returns false if there is no candidate.
+    /// Evicts one connection: a lingering one, else one with an incomplete handshake, else one whose peer may still
+    /// have to read the last lines of its session; the oldest of its kind first. Returns false if there is no
+    /// candidate.
     pub(super) fn evict(&mut self, sockets: &mut BufferedSockets) -> bool {
-        if let Some(deadline) = self.lingering.pop_earliest() {
-            release(&mut sockets.store, deadline.token(), LingerEnd::Evicted);
-            return true;
-        }
+        evict_closed(&mut self.lingering, sockets)
+            || self.evict_awaiting_handshake(sockets)
+            || evict_closed(&mut self.delivering, sockets)
+    }
+
+    fn evict_awaiting_handshake(&mut self, sockets: &mut BufferedSockets) -> bool {
         let mut skipped = Vec::new();
         let mut evicted = false;
         while let Some(deadline) = self.awaiting_handshake.pop_earliest() {
@@ -100,15 +120,27 @@
                 skipped.push(deadline);
                 continue;
             }
-            evict_if_handshake_incomplete(&mut sockets.store, deadline.token());
-            evicted = true;
-            break;
+            evicted = evict_if_handshake_incomplete(&mut sockets.store, deadline.token());
+            if evicted {
+                break;
+            }
         }
         self.awaiting_handshake.put_back(skipped);
         evicted
     }
 }
 
+/// Evicts the earliest closed connection of a queue. Returns false if there is none.
+fn evict_closed(queue: &mut DeadlineQueue, sockets: &mut BufferedSockets) -> bool {
+    while let Some(deadline) = queue.pop_earliest() {
+        if sockets.store.get(deadline.token()).is_some() {
+            release(&mut sockets.store, deadline.token(), LingerEnd::Evicted);
+            return true;
+        }
+    }
+    false
+}
+
 /// Whether a peer whose handshake is incomplete has sent a complete line, in the buffer or still in the
 /// kernel. Its owner is about to handle that line, so the connection is not idle.
 fn has_unhandled_line(sockets: &mut BufferedSockets, token: Token) -> bool {
@@ -120,16 +152,16 @@
     sockets.store.get(token).is_some_and(|socket| socket.is_awaiting_handshake() && has_line(socket))
 }
 
-/// Closes a connection if its handshake is still incomplete, and notifies its owner.
-fn evict_if_handshake_incomplete(store: &mut SocketStore, token: Token) {
-    let Some(socket) = store.get(token) else { return };
-    if socket.is_awaiting_handshake() && socket.is_open() {
-        if let Some(eviction_answer) = socket.eviction_answer() {
-            // Best effort, without buffering the rest. A request may already be on its way, and this is its
-            // answer.
-            let _ = system::write(&socket.fd, eviction_answer);
-        }
-        store.emit(token, SocketEventKind::Evicted);
-        store.close(token);
+/// Closes a connection if its handshake is still incomplete, and notifies its owner. Returns whether it was closed.
+fn evict_if_handshake_incomplete(store: &mut SocketStore, token: Token) -> bool {
+    let is_candidate = |socket: &&Socket| socket.is_awaiting_handshake() && socket.is_open();
+    let Some(socket) = store.get(token).filter(is_candidate) else { return false };
+    if let Some(eviction_answer) = socket.eviction_answer() {
+        // Best effort, without buffering the rest. A request may already be on its way, and this is its
+        // answer.
+        let _ = system::write(&socket.fd, eviction_answer);
     }
+    store.emit(token, SocketEventKind::Evicted);
+    store.close(token);
+    true
 }
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -316,6 +316,12 @@
         self.candidates.close(&mut self.sockets, token);
     }
 
+    /// Like [`SocketReactor::close`], for a connection whose peer may still have to read much of its output: waits
+    /// longer for the peer to close its side.
+    pub fn close_after_delivery(&mut self, token: Token) {
+        self.candidates.close_after_delivery(&mut self.sockets, token);
+    }
+
     /// Closes the connection immediately and discards buffered output.
     pub fn close_without_flush(&mut self, token: Token) {
         self.sockets.store.close(token);
@@ -336,8 +342,8 @@
         self.sockets.store.descriptors_mut().reserve_mut().grow(descriptors);
     }
 
-    /// Evicts connections while descriptors are short: lingering connections first, oldest first, then those
-    /// with an incomplete handshake. Returns false if only connections in use are left.
+    /// Evicts connections that no request uses while descriptors are short. Returns false if only connections in use
+    /// are left.
     pub fn reclaim_descriptors(&mut self) -> bool {
         self.candidates.reclaim_descriptors(&mut self.sockets)
     }
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -179,3 +179,46 @@
     peer.read_exact(&mut received).expect("read the request line");
     assert_eq!(&received, b"GET\r\n");
 }
+
+/// Whether the reactor still holds the connection of a closed token.
+fn is_held(reactor: &SocketReactor, token: Token) -> bool {
+    reactor.peer_addr(token).is_some()
+}
+
+/// A peer that has not closed its side yet keeps a connection closed after delivery longer than other closed ones.
+#[test]
+fn a_connection_closed_after_delivery_outlasts_other_closed_ones() {
+    let (mut reactor, addr) = reactor_with_listener();
+    let (_answered, answered) = accepted_client(&mut reactor, addr);
+    let (_reading, reading) = accepted_client(&mut reactor, addr);
+    reactor.close(answered);
+    reactor.close_after_delivery(reading);
+    let mut held_after_ms = |ms| {
+        reactor.poll(MonotonicTime::ZERO + Duration::from_millis(ms), Duration::ZERO).expect("poll");
+        [answered, reading].map(|token| is_held(&reactor, token))
+    };
+    assert_eq!(held_after_ms(900), [true, true]);
+    assert_eq!(held_after_ms(5_000), [false, true]);
+    assert_eq!(held_after_ms(29_000), [false, true]);
+    assert_eq!(held_after_ms(35_000), [false, false]);
+}
+
+/// A shortage of descriptors evicts idle clients, which lose nothing, before peers that still read their last lines.
+#[test]
+fn a_connection_closed_after_delivery_is_evicted_last() {
+    let (mut reactor, addr) = reactor_with_listener();
+    let (_reading, reading) = accepted_client(&mut reactor, addr);
+    let (_answered, answered) = accepted_client(&mut reactor, addr);
+    let (_idle, idle) = accepted_client(&mut reactor, addr);
+    reactor.close_after_delivery(reading);
+    reactor.close(answered);
+    let candidates = [answered, idle, reading];
+    let mut held_after_eviction = || {
+        assert!(reactor.candidates.evict(&mut reactor.sockets));
+        candidates.map(|token| is_held(&reactor, token))
+    };
+    assert_eq!(held_after_eviction(), [false, true, true]);
+    assert_eq!(held_after_eviction(), [false, false, true]);
+    assert_eq!(held_after_eviction(), [false, false, false]);
+    assert!(!reactor.candidates.evict(&mut reactor.sockets));
+}
--- a/tests/forwarding_races.rs
+++ b/tests/forwarding_races.rs
@@ -1,7 +1,8 @@
 //! Races between forwarding and backpressure: buffered lines are forwarded as soon as a slow side reads again.
 
-use sparbank_test_support::{counter_value, established_client, TestNode};
+use sparbank_test_support::{counter_value, established_client, Peer, TestNode};
 use std::io::Write;
+use std::net::Shutdown;
 use std::time::Duration;
 
 /// The program under test.
@@ -13,6 +14,16 @@
 const BURST_LINE: &[u8; 40] = b"M 0123456789abcdef0123456789abcdef0123\r\n";
 /// How long the client does not read. Within this time the burst fills all buffers.
 const CLIENT_STALL: Duration = Duration::from_millis(800);
+/// Lines that the kernel's buffers between the node and a peer that does not read take without backpressure.
+const BUFFERED_LINES: usize = 40_000;
+/// How long a peer does not read the last lines of its session: longer than the node waits for a peer to close a
+/// connection whose output it has read.
+const READ_STALL: Duration = Duration::from_millis(2_500);
+/// How long a server does not read beyond [`READ_STALL`]. In all, this is less than the time after which the node takes
+/// it for unresponsive, and more than a client that has closed waits for its server's end.
+const SERVER_STALL: Duration = Duration::from_millis(1_000);
+/// Time in which a line that a peer sends on loopback arrives.
+const ARRIVAL_TIME: Duration = Duration::from_millis(200);
 
 /// The client stops reading during a burst that ends with `BYE` and a close by the server. Once it reads again it
 /// gets every line and the close, although the server sends nothing more that would wake the node.
@@ -45,3 +56,59 @@
     let counters = bench.stop();
     assert_eq!(counter_value(&counters, "invariant_violations"), 0);
 }
+
+/// Lines that a client has not read when its session ends.
+fn unread_lines(count: usize) -> Vec<u8> {
+    BURST_LINE.repeat(count)
+}
+
+/// Has a peer that does not read send a line in the meantime.
+fn stall_and_send(peer: &mut Peer) {
+    std::thread::sleep(READ_STALL);
+    // A node that has closed the connection answers a late line with a reset, which discards what the client has not
+    // received.
+    let _ = peer.stream.write_all(b"M 1\r\n");
+    std::thread::sleep(ARRIVAL_TIME);
+}
+
+/// The server sends its last lines and closes. The client reads them late, and sends a line before: it still gets every
+/// line and an orderly close.
+#[test]
+fn a_client_that_reads_its_servers_last_lines_late_gets_all_of_them_and_the_close() {
+    let bench = TestNode::start(PROGRAM, 1);
+    let (mut client, mut attempt) = established_client(&bench, 1);
+    attempt.stream.write_all(&unread_lines(BUFFERED_LINES)).expect("the node reads all lines");
+    attempt.send("BYE\r\n");
+    drop(attempt);
+    stall_and_send(&mut client);
+    let received = client.read_to_end();
+    assert_eq!(received.lines().count(), BUFFERED_LINES + 1);
+    assert_eq!(received.lines().last(), Some("BYE"));
+}
+
+/// The node migrates a client that has not read its last lines yet: the client still gets them, and `MOVE`.
+#[test]
+fn a_client_that_reads_late_when_it_is_migrated_gets_all_lines_and_move() {
+    let bench = TestNode::start(PROGRAM, 1);
+    let (mut client, mut attempt) = established_client(&bench, 1);
+    attempt.stream.write_all(&unread_lines(BUFFERED_LINES)).expect("the node reads all lines");
+    // A line that is too long has the node migrate the client.
+    attempt.send(&"x".repeat(5_000));
+    stall_and_send(&mut client);
+    let received = client.read_to_end();
+    assert_eq!(received.lines().count(), BUFFERED_LINES + 1);
+    assert_eq!(received.lines().last(), Some("MOVE"));
+}
+
+/// The client sends its last lines and closes. The server reads them late, and answers a line before: it still gets
+/// every line and the close.
+#[test]
+fn a_server_that_reads_a_closed_clients_last_lines_late_gets_all_of_them() {
+    let bench = TestNode::start(PROGRAM, 1);
+    let (mut client, mut attempt) = established_client(&bench, 1);
+    client.stream.write_all(&unread_lines(BUFFERED_LINES)).expect("the node reads all lines");
+    client.stream.shutdown(Shutdown::Write).expect("the connection is open");
+    std::thread::sleep(SERVER_STALL);
+    stall_and_send(&mut attempt);
+    assert_eq!(attempt.read_to_end().lines().count(), BUFFERED_LINES);
+}
