Do not end a half-closed session while its peers still read

Callers saw: a client that closes its write side and reads its server's last lines slowly lost the rest of them after 2 s.

Cause: HALF_CLOSED_TIMEOUT, meant for servers that do not follow their client's end, ended sessions whose server had ended but whose end waited behind lines that the client had not read; nothing asked for pending output.

Fix: the timeout is repeated while output for either peer is pending, for 30 s at most.

--- a/src/frontend/text/client_input.rs
+++ b/src/frontend/text/client_input.rs
@@ -9,8 +9,11 @@
 use crate::net::{Token, OUTPUT_HIGH_WATERMARK_BYTES};
 use std::time::Duration;
 
-/// After the client has half-closed its connection, the server must close its own side within this time.
+/// After the client has half-closed its connection, the server must close its own side within this time, unless one of
+/// the two is slow to read what is forwarded to it.
 const HALF_CLOSED_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a half-closed session may last while one of its peers is slow to read.
+const HALF_CLOSED_DELIVERY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Handles an event on the connection of a client with a session.
 pub(super) fn on_client_event(
@@ -62,9 +65,30 @@
         return end_session(sessions, ctx, client, Outcome::Cancelled, ConnectionEnd::Reset);
     }
     let all_forwarded = ctx.net.input_buffer(client).is_none_or(|input| input.is_empty());
-    if ctx.net.is_read_closed(client) && all_forwarded {
+    if ctx.net.is_read_closed(client) && all_forwarded && established.half_closed_at.is_none() {
+        established.half_closed_at = Some(ctx.now);
         ctx.net.shutdown_write(server_connection);
-        ctx.wheel.schedule(ctx.now + HALF_CLOSED_TIMEOUT, TimerEvent::FrontendTimer(TEXT_FRONTEND, client));
+        schedule_half_closed_timeout(ctx, client);
+    }
+}
+
+fn schedule_half_closed_timeout(ctx: &mut FrontendContext, client: Token) {
+    ctx.wheel.schedule(ctx.now + HALF_CLOSED_TIMEOUT, TimerEvent::FrontendTimer(TEXT_FRONTEND, client));
+}
+
+/// Ends a half-closed session whose server has not closed its own side in time. Waits on while output for either peer is
+/// pending: the server may not have received the client's end yet, or the client may still read the server's last lines.
+pub(super) fn on_half_closed_timeout(sessions: &mut Sessions, ctx: &mut FrontendContext, client: Token) {
+    let established = sessions.get(client).and_then(|session| session.established());
+    let Some(established) = established else { return };
+    let Some(half_closed_at) = established.half_closed_at else { return };
+    let is_delivering = [client, established.server_connection]
+        .into_iter()
+        .any(|token| ctx.net.pending_output_bytes(token) > 0);
+    if is_delivering && ctx.now < half_closed_at + HALF_CLOSED_DELIVERY_TIMEOUT {
+        schedule_half_closed_timeout(ctx, client);
+    } else {
+        end_session(sessions, ctx, client, Outcome::Cancelled, ConnectionEnd::Orderly);
     }
 }
 
--- a/src/frontend/text/handover.rs
+++ b/src/frontend/text/handover.rs
@@ -192,6 +192,7 @@
         unanswered_since: transferred.unanswered_since,
         ending: transferred.ending,
         load: transferred.load,
+        half_closed_at: None,
     };
     let session = Session::inherited(open, request_id, server, established);
     session.trace("inherited", ctx);
--- a/src/frontend/text/mod.rs
+++ b/src/frontend/text/mod.rs
@@ -44,13 +44,13 @@
 use crate::model::{Outcome, RequestId, ServerId};
 use crate::net::{SocketEvent, SocketEventKind, Token};
 use awaiting_clients::AwaitingClients;
-use client_input::on_client_event;
+use client_input::{on_client_event, on_half_closed_timeout};
 use connection_event::ConnectionEvent;
 use handover::ImportedClient;
 use health_check::HealthChecks;
 use latency::LatencyTracker;
 use server_events::ServerEvents;
-use session_end::{answer_and_close, end_session, ConnectionEnd};
+use session_end::answer_and_close;
 use sessions::Sessions;
 use sparbank_time::DurationExt;
 use std::time::Duration;
@@ -239,8 +239,8 @@
         let Some(session) = self.sessions.get(token) else { return };
         if session.request_id().is_none() {
             answer_and_close(&mut self.sessions, ctx, token, b"ERR\r\n");
-        } else if session.is_established() && ctx.net.is_read_closed(token) {
-            end_session(&mut self.sessions, ctx, token, Outcome::Cancelled, ConnectionEnd::Orderly);
+        } else {
+            on_half_closed_timeout(&mut self.sessions, ctx, token);
         }
     }
 
--- a/src/frontend/text/session.rs
+++ b/src/frontend/text/session.rs
@@ -62,6 +62,8 @@
     pub(super) ending: SessionEnding,
     /// The load that the server last reported for this connection.
     pub(super) load: Option<Duration>,
+    /// When the client's end was passed on to the server: the client has closed its write side.
+    pub(super) half_closed_at: Option<MonotonicTime>,
 }
 
 /// How a server's last line announces the end of the connection. The names serialized for a handover are fixed.
@@ -235,6 +237,7 @@
                 unanswered_since: None,
                 ending: SessionEnding::Unannounced,
                 load: None,
+                half_closed_at: None,
             });
         }
     }
--- a/tests/forwarding_races.rs
+++ b/tests/forwarding_races.rs
@@ -100,6 +100,26 @@
     assert_eq!(received.lines().last(), Some("MOVE"));
 }
 
+/// The client closes its write side and reads its server's last lines late: it still gets every line and the close.
+#[test]
+fn a_half_closed_client_that_reads_late_gets_all_lines_and_the_close() {
+    let bench = TestNode::start(PROGRAM, 1);
+    let (mut client, attempt) = established_client(&bench, 1);
+    let mut sender = attempt.stream.try_clone().expect("a second handle");
+    drop(attempt);
+    let sending = std::thread::spawn(move || {
+        sender.write_all(&unread_lines(BURST_LINES)).expect("the node reads all of it");
+        sender.write_all(b"BYE\r\n").expect("the node reads the last line");
+    });
+    std::thread::sleep(ARRIVAL_TIME);
+    client.stream.shutdown(Shutdown::Write).expect("the connection is open");
+    std::thread::sleep(READ_STALL);
+    let received = client.read_to_end();
+    assert_eq!(received.lines().count(), BURST_LINES + 1);
+    assert_eq!(received.lines().last(), Some("BYE"));
+    sending.join().expect("all lines are sent");
+}
+
 /// The client sends its last lines and closes. The server reads them late, and answers a line before: it still gets
 /// every line and the close.
 #[test]
