Read the watch once more before it times out

Cause: the tick closes a watch by the time of the last byte that was read. A process that is held up between epoll and the tick closes a watch whose list lies unread in the kernel, and then waits for its poll's backoff with the old list.

Evidence: a soak with a peek before each write of discovery: at 12.7545 s the list is written to node 3's open connection, the node logs 'no data within the time limit' and no list, and sends to the drained servers at 14.58 s.

Fix: the client reads what has arrived and applies it before it decides. a_list_that_arrives_just_before_the_timeout_of_its_watch_is_applied failed before ([EndpointList(Failed, [])]).

--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -173,10 +173,26 @@
         self.read(now, net, registry, token, ConnectionState::Usable)
     }
 
-    /// Closes the watch and returns a failure event if one of its timeouts has elapsed.
-    pub fn close_timed_out_watch(&mut self, now: MonotonicTime, net: &mut SocketReactor) -> Option<Event> {
-        let has_timed_out = self.watch.as_ref()?.state.has_timed_out(now);
-        has_timed_out.then(|| self.close_failed_watch(net, WatchError::TimedOut))
+    /// Closes the watch if one of its timeouts has elapsed, and returns the resulting balancer events in order. Data that
+    /// has arrived since the watch was last read comes first: the node counts as notified of it.
+    pub fn close_timed_out_watch(
+        &mut self,
+        now: MonotonicTime,
+        net: &mut SocketReactor,
+        registry: &mut EndpointRegistry,
+    ) -> Vec<Event> {
+        if !self.has_timed_out(now) {
+            return Vec::new();
+        }
+        let mut events = self.read_pending(now, net, registry);
+        if self.has_timed_out(now) {
+            events.push(self.close_failed_watch(net, WatchError::TimedOut));
+        }
+        events
+    }
+
+    fn has_timed_out(&self, now: MonotonicTime) -> bool {
+        self.watch.as_ref().is_some_and(|watch| watch.state.has_timed_out(now))
     }
 
     /// Removes the watch from this client to hand it over to the successor. Returns `None` if there is no watch or it
@@ -241,3 +257,6 @@
 fn watch_failed_event() -> Event {
     Event::EndpointList(ListKind::Failed, Vec::new())
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/node/endpoint_watch.rs
+++ b/src/node/endpoint_watch.rs
@@ -45,7 +45,8 @@
 
     /// Closes an unresponsive watch, and retries a watch request that failed for lack of a socket.
     pub(super) fn on_tick(&mut self, host: &mut FrontendHost, now: MonotonicTime) {
-        if let Some(event) = self.client.close_timed_out_watch(now, &mut host.state.net) {
+        let (net, registry) = (&mut host.state.net, &mut host.state.registry);
+        for event in self.client.close_timed_out_watch(now, net, registry) {
             report_list(host, event);
         }
         if self.client.awaits_socket() {
