Ask the kernel whether a node has closed its watch before it counts as notified

Cause: the soak's and the cluster's discovery looked for a closed watch by try_read, which knows only what the runtime has polled.

Change: has_peer_closed peeks at the socket. Test: a_closed_connection_is_detected_without_polling_the_runtime, in which try_read sees nothing.

--- a/crates/soak/src/discovery.rs
+++ b/crates/soak/src/discovery.rs
@@ -2,7 +2,7 @@
 
 use crate::server::Servers;
 use sparbank_test_support::invariants::{InvariantChecker, ServerNotice};
-use sparbank_test_support::loopback::reset_on_drop;
+use sparbank_test_support::loopback::{has_peer_closed, reset_on_drop};
 use sparbank_test_support::watch_protocol::{
     chunk, endpoint_json, list_json, read_watch_request, REJECTION_RESPONSE, WATCH_RESPONSE_HEAD,
 };
@@ -220,7 +220,8 @@
             if is_reset {
                 return reset_on_drop(&stream);
             }
-            if matches!(stream.try_read(&mut [0; 16]), Ok(0)) {
+            // A node that has closed its watch must not be recorded as notified.
+            if has_peer_closed(&stream) {
                 return;
             }
             let is_silent = watch < self.state.silent_before.get();
--- a/crates/test-support/src/cluster/discovery.rs
+++ b/crates/test-support/src/cluster/discovery.rs
@@ -4,7 +4,7 @@
 
 use super::servers::Servers;
 use super::Shared;
-use crate::loopback::reset_on_drop;
+use crate::loopback::{has_peer_closed, reset_on_drop};
 use crate::watch_protocol::{chunk, read_watch_request, REJECTION_RESPONSE, WATCH_RESPONSE_HEAD};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -166,7 +166,7 @@
                 return reset_on_drop(&stream);
             }
             // A node that has closed its watch must not be recorded as notified.
-            if matches!(stream.try_read(&mut [0; 16]), Ok(0)) {
+            if has_peer_closed(&stream) {
                 return;
             }
             let Some(line) = self.next_line(&mut progress) else {
--- a/crates/test-support/src/loopback.rs
+++ b/crates/test-support/src/loopback.rs
@@ -1,6 +1,8 @@
 //! Loopback addresses for test runs, and helpers for connections on them.
 
+use rustix::io::Errno;
 use rustix::net::sockopt::set_socket_linger;
+use rustix::net::{recv, RecvFlags};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -61,6 +63,16 @@
     let _ = set_socket_linger(stream, Some(Duration::ZERO));
 }
 
+/// Whether the peer of a connection has closed it, for connections on which the peer sends nothing more. This asks the
+/// kernel: tokio learns of a close only when its task yields, which a busy thread does late.
+pub fn has_peer_closed(stream: &impl AsFd) -> bool {
+    let mut byte = [0; 1];
+    match recv(stream, &mut byte, RecvFlags::PEEK | RecvFlags::DONTWAIT) {
+        Ok((count, _)) => count == 0,
+        Err(error) => error != Errno::AGAIN && error != Errno::INTR,
+    }
+}
+
 /// Whether a node answers a health check (`PING`) on its text protocol.
 pub async fn answers_ping(address: SocketAddr) -> bool {
     let ping = async {
@@ -72,3 +84,6 @@
     };
     timeout(HEALTH_CHECK_TIMEOUT, ping).await.ok().flatten().is_some()
 }
+
+#[cfg(test)]
+mod tests;
