Do not count a server as unresponsive whose answers the node has not read

Callers saw: a client that reads nothing for 4.5 s after a line was migrated in the middle of its server's lines, and the end was passed to the policy as a reset of its healthy server.

Cause: the limit runs until the next line that is forwarded; nothing is forwarded above the client's watermark, and the tick does not look at what has arrived.

Fix: sessions whose clients have output above the watermark are not overdue; the server connections of the others are read and handled once more first.

--- a/src/frontend/text/mod.rs
+++ b/src/frontend/text/mod.rs
@@ -54,6 +54,7 @@
 use sessions::Sessions;
 use sparbank_time::DurationExt;
 use std::time::Duration;
+use unresponsive_servers::OverdueSession;
 
 /// The answer to a client whose connection is evicted before it has sent a request.
 const EVICTION_ANSWER: &[u8] = b"BUSY\r\n";
@@ -77,6 +78,17 @@
         ServerEvents::new(&mut self.sessions, &mut self.latencies)
     }
 
+    /// Reads the answers that have arrived from servers that would be taken for unresponsive.
+    fn read_overdue_answers(&mut self, ctx: &mut FrontendContext) {
+        for session in unresponsive_servers::overdue_sessions(&self.sessions, ctx) {
+            let OverdueSession { client, server_connection } = session;
+            ctx.net.read_available(server_connection);
+            let event = ConnectionEvent::current(ctx, server_connection);
+            self.server_events().handle(ctx, client, server_connection, event);
+            ctx.net.update_interest(server_connection);
+        }
+    }
+
     /// Dispatches an event on a connection to the module responsible for the connection.
     fn on_connection_event(&mut self, ctx: &mut FrontendContext, token: Token, event: ConnectionEvent) {
         if self.awaiting.contains(token) {
@@ -257,6 +269,7 @@
     }
 
     fn on_tick(&mut self, ctx: &mut FrontendContext) {
+        self.read_overdue_answers(ctx);
         unresponsive_servers::migrate_clients(&mut self.sessions, ctx);
         self.latencies.report(ctx);
     }
--- a/src/frontend/text/tests.rs
+++ b/src/frontend/text/tests.rs
@@ -24,6 +24,9 @@
 /// The window within which servers discard duplicate attempts of a request.
 const DEDUP_WINDOW: Duration = Duration::from_millis(800);
 
+/// A server that answers no line for this long is unresponsive.
+const UNRESPONSIVE_TIME: Duration = Duration::from_secs(5);
+
 /// A text frontend with one client and two servers.
 struct FrontendFixture {
     now: MonotonicTime,
@@ -244,3 +247,26 @@
     client.read_exact(&mut answer).expect("the answer");
     assert_eq!(&answer, b"UP r1\r\n");
 }
+
+/// Guards against taking a server for unresponsive whose answer to a line has arrived but has not been read.
+#[test]
+fn an_answer_in_the_kernel_buffer_is_read_before_the_client_is_migrated() {
+    let mut fixture = FrontendFixture::new();
+    let (mut client, request_id) = fixture.attempt_about_to_be_sent();
+    fixture.flush_connected();
+    let (mut attempt, _) = fixture.received_by_a_server();
+    attempt.write_all(b"UP r1\r\n").expect("written");
+    std::thread::sleep(KERNEL_DELIVERY_TIME);
+    fixture.with_frontend(|frontend, ctx| frontend.read_answer(ctx, request_id));
+    client.write_all(b"M 1\r\n").expect("written");
+    std::thread::sleep(KERNEL_DELIVERY_TIME);
+    fixture.poll();
+    attempt.write_all(b"M 1\r\n").expect("written");
+    std::thread::sleep(KERNEL_DELIVERY_TIME);
+    fixture.now += UNRESPONSIVE_TIME;
+    fixture.with_frontend(|frontend, ctx| frontend.on_tick(ctx));
+    drop(fixture);
+    let mut received = String::new();
+    client.read_to_string(&mut received).expect("an end of the connection");
+    assert_eq!(received, "UP r1\r\nM 1\r\n");
+}
--- a/tests/forwarding_races.rs
+++ b/tests/forwarding_races.rs
@@ -22,6 +22,8 @@
 /// How long a server does not read beyond [`READ_STALL`]. In all, this is less than the time after which the node takes
 /// it for unresponsive, and more than a client that has closed waits for its server's end.
 const SERVER_STALL: Duration = Duration::from_millis(1_000);
+/// How long a client does not read although its server answers its lines: longer than a server may take to answer.
+const LONG_STALL: Duration = Duration::from_millis(5_500);
 /// Time in which a line that a peer sends on loopback arrives.
 const ARRIVAL_TIME: Duration = Duration::from_millis(200);
 
@@ -132,3 +134,24 @@
     stall_and_send(&mut attempt);
     assert_eq!(attempt.read_to_end().lines().count(), BUFFERED_LINES);
 }
+
+/// The client sends a line and reads nothing for a long time, during which the server answers and sends more than all
+/// buffers take. The server is not at fault: the session goes on, and the client gets every line.
+#[test]
+fn a_client_that_does_not_read_its_servers_answers_is_not_migrated() {
+    let mut bench = TestNode::start(PROGRAM, 1);
+    let (mut client, mut attempt) = established_client(&bench, 1);
+    let mut sender = attempt.stream.try_clone().expect("a second handle");
+    let sending = std::thread::spawn(move || {
+        sender.write_all(&unread_lines(BURST_LINES)).expect("the node reads all of it");
+    });
+    std::thread::sleep(ARRIVAL_TIME);
+    client.send("M 1\r\n");
+    assert_eq!(attempt.read_line(), "M 1");
+    std::thread::sleep(LONG_STALL);
+    for line in 0..BURST_LINES {
+        assert_eq!(client.read_line().as_bytes(), BURST_LINE.trim_ascii_end(), "line {line}");
+    }
+    sending.join().expect("all lines are sent");
+    assert_eq!(bench.counter("migrated"), 0);
+}
