Log why an AMQP delivery does not become a request

Cause: in the known failure memory_stays_bounded_with_a_slow_server 'the third client's request never starts', and nothing in the log said why.

Change: trace line 'delivery settled without a request' with the reason (a typed DeliveryRefusal) and the octets buffered.

--- a/src/frontend/amqp/delivery_requests/transfers.rs
+++ b/src/frontend/amqp/delivery_requests/transfers.rs
@@ -20,6 +20,30 @@
 /// The maximum size, in octets, of the sections before the body of a message.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Why a delivery does not become a request.
+#[derive(Debug, thiserror::Error)]
+enum DeliveryRefusal {
+    /// The message is malformed, or its client may not send it.
+    #[error("invalid")]
+    Invalid(State),
+    /// The node drains.
+    #[error("draining")]
+    Draining,
+    /// The octets buffered for all deliveries have reached their limit.
+    #[error("memory-limit")]
+    MemoryLimit,
+}
+
+impl DeliveryRefusal {
+    /// The state with which the delivery is settled.
+    fn into_state(self) -> State {
+        match self {
+            DeliveryRefusal::Invalid(state) => state,
+            DeliveryRefusal::Draining | DeliveryRefusal::MemoryLimit => rejected_state(RETRY_AFTER_MS),
+        }
+    }
+}
+
 /// Handles transfers received on clients' connections.
 pub struct TransferHandler<'a, 'b> {
     /// The components of the node that the frontend uses.
@@ -160,19 +184,27 @@
                 self.requests.deliveries.add_buffered(bytes.len());
                 return IncompleteDelivery::ReadingHead(bytes);
             }
-            Err(error) => Err(invalid_state(error.into())),
+            Err(error) => Err(DeliveryRefusal::Invalid(invalid_state(error.into()))),
         };
         match head.and_then(|head| self.start_request(received, head, bytes)) {
             Ok(request_id) => IncompleteDelivery::Request(request_id),
-            Err(state) => {
-                self.settle_without_request(received, state);
+            Err(refusal) => {
+                self.settle_without_request(received, refusal);
                 IncompleteDelivery::Ignored
             }
         }
     }
 
     /// Settles a delivery that did not become a request, and counts it.
-    fn settle_without_request(&mut self, received: ReceivedTransfer<'_, '_>, state: State) {
+    fn settle_without_request(&mut self, received: ReceivedTransfer<'_, '_>, refusal: DeliveryRefusal) {
+        tracing::trace!(
+            client_connection = %received.link.token,
+            delivery = received.transfer.id,
+            reason = %refusal,
+            buffered_bytes = self.requests.buffered_bytes(),
+            "delivery settled without a request"
+        );
+        let state = refusal.into_state();
         if matches!(state, State::Rejected(_)) {
             self.ctx.requests.counters_mut().malformed += 1;
         } else {
@@ -186,20 +218,23 @@
     /// Creates the request of a delivery.
     ///
     /// # Errors
-    /// The state with which to settle a delivery that cannot become a request.
+    /// Why the delivery cannot become a request.
     fn start_request(
         &mut self,
         received: ReceivedTransfer<'_, '_>,
         head: Head,
         bytes: Vec<u8>,
-    ) -> Result<RequestId, State> {
+    ) -> Result<RequestId, DeliveryRefusal> {
         let class = match received.class {
             Some(class) => class,
             None => self.class_of_message(received.link, &head)?,
         };
         let buffered = self.requests.buffered_bytes() + bytes.len();
-        if self.peers.clients.is_draining() || buffered > self.peers.config.max_buffered_bytes {
-            return Err(rejected_state(RETRY_AFTER_MS));
+        if self.peers.clients.is_draining() {
+            return Err(DeliveryRefusal::Draining);
+        }
+        if buffered > self.peers.config.max_buffered_bytes {
+            return Err(DeliveryRefusal::MemoryLimit);
         }
         let time_to_live = head.ttl.map(|ms| Duration::from_millis(u64::from(ms)).min(MAX_TIME_LIMIT));
         let attributes = RequestAttributes {
@@ -230,12 +265,12 @@
     /// Returns the class that the `to` field of a message names.
     ///
     /// # Errors
-    /// The state with which to settle a delivery that names no class, or one that the client is not authorized to use.
-    fn class_of_message(&mut self, link: ConnectionLink, head: &Head) -> Result<usize, State> {
+    /// The message names no class, or one that the client is not authorized to use.
+    fn class_of_message(&mut self, link: ConnectionLink, head: &Head) -> Result<usize, DeliveryRefusal> {
         let client = self.peers.clients.get(link.token);
         let identity = client.as_deref().map(|client| client.identity());
         let class = self.info.classes.authorize(identity, AddressField::To, head.to.as_deref());
-        class.map_err(invalid_state)
+        class.map_err(|error| DeliveryRefusal::Invalid(invalid_state(error)))
     }
 
     /// Registers a new request with its client's connection and, if the link is retained, for link recovery.
