Accept AMQP deliveries that begin while the buffer is nearly full

Callers saw: under memory pressure a delivery was rejected (modified, retry-after 500) where its first transfer arrived within one transfer of max_held, and served later where it arrived above max_held. In memory_stays_bounded_with_a_slow_server the third request therefore 'never started'.

Cause: start_request rejected a delivery that would exceed max_held; reading stops only at max_held, and later transfers may exceed it by a frame.

--- a/src/frontend/amqp/delivery_requests/transfers.rs
+++ b/src/frontend/amqp/delivery_requests/transfers.rs
@@ -29,9 +29,6 @@
     /// The node drains.
     #[error("draining")]
     Draining,
-    /// The octets buffered for all deliveries have reached their limit.
-    #[error("memory-limit")]
-    MemoryLimit,
 }
 
 impl DeliveryRefusal {
@@ -39,7 +36,7 @@
     fn into_state(self) -> State {
         match self {
             DeliveryRefusal::Invalid(state) => state,
-            DeliveryRefusal::Draining | DeliveryRefusal::MemoryLimit => rejected_state(RETRY_AFTER_MS),
+            DeliveryRefusal::Draining => rejected_state(RETRY_AFTER_MS),
         }
     }
 }
@@ -229,13 +226,9 @@
             Some(class) => class,
             None => self.class_of_message(received.link, &head)?,
         };
-        let buffered = self.requests.buffered_bytes() + bytes.len();
         if self.peers.clients.is_draining() {
             return Err(DeliveryRefusal::Draining);
         }
-        if buffered > self.peers.config.max_buffered_bytes {
-            return Err(DeliveryRefusal::MemoryLimit);
-        }
         let time_to_live = head.ttl.map(|ms| Duration::from_millis(u64::from(ms)).min(MAX_TIME_LIMIT));
         let attributes = RequestAttributes {
             class,
--- a/tests/amqp_large_messages.rs
+++ b/tests/amqp_large_messages.rs
@@ -274,3 +274,26 @@
     let buffered = counter_value(&bench.frontend_counters("amqp"), "max_buffered_bytes");
     assert!(buffered < 450_000, "{buffered} octets were buffered");
 }
+
+/// A delivery that begins while the buffer is nearly full is answered by a server, as one that begins while it is full:
+/// it is not rejected because of the few octets by which it exceeds the limit.
+#[rstest]
+fn a_delivery_that_begins_while_the_buffer_is_nearly_full_is_served() {
+    const LIMIT: usize = 400_000;
+    let settings = format!(r#"{{"listen":"127.0.0.1:0","max_held":{LIMIT},"keep":{LIMIT}}}"#);
+    let mut bench = TestNode::start_with_servers(PROGRAM, vec![listener()], Some(&settings));
+    let [mut first, mut second] = [(); 2].map(|()| connect_client(&bench));
+    first.deliver_in_transfers(0, &message_with_key(60_000, "7f3a", &vec![7; LIMIT - 10_000]), 12_000);
+    let mut server = AmqpPeer::server(Peer::accept(&bench.servers[0]), 1_000, 65_536);
+    server.accept_sending_link(10, 1_000);
+    let id = server.receive_message().delivery_id;
+    let buffered = counter_value(&bench.frontend_counters("amqp"), "buffered_bytes");
+    assert!((LIMIT as u64 - 12_000..LIMIT as u64).contains(&buffered), "{buffered} octets are buffered");
+    second.send_on_first_link(0, &message_with_key(60_000, "7f3b", &[7; 12_000]));
+    let second_id = server.receive_message().delivery_id;
+    server.settle(id, State::Accepted);
+    server.settle(second_id, State::Accepted);
+    for mut client in [first, second] {
+        assert_eq!(client.receive_delivery_state(), State::Accepted);
+    }
+}
