Do not disconnect AMQP clients as idle while the node does not read them

Callers saw: clients that sent heartbeats were closed with 'idle time-out' while the node's buffer was full, or while they read slowly; their deliveries were abandoned.

Cause: the idle timer counted from the octets that were processed; the node's own backpressure delays processing.

Evidence: a_client_whose_input_waits_for_memory_is_not_disconnected_as_idle and a_slow_receiver_that_sends_heartbeats_is_not_disconnected_as_idle failed before ('the connection ended' about 1 s into 2 s of heartbeats, idle_ms 800).

Fix: the timer also counts octets read from the socket and room made for pending output, and does not run for clients that wait for memory.

--- a/crates/amqp/src/connection/idle.rs
+++ b/crates/amqp/src/connection/idle.rs
@@ -30,10 +30,10 @@
             timeout_ms.map(|ms| Duration::from_millis(u64::from(ms)).max(MIN_REMOTE_TIMEOUT));
     }
 
-    /// Records that octets were received.
+    /// Records that octets were received at this time.
     #[inline]
-    pub fn on_received(&mut self, now: MonotonicTime) {
-        self.last_received = now;
+    pub fn on_received(&mut self, at: MonotonicTime) {
+        self.last_received = self.last_received.max(at);
     }
 
     /// Records that octets are sent.
--- a/crates/amqp/src/connection/mod.rs
+++ b/crates/amqp/src/connection/mod.rs
@@ -229,6 +229,12 @@
         self.sessions.link_mut(link)
     }
 
+    /// Records that the peer was active at this time although none of its octets have been passed to
+    /// [`Connection::next_event`], for callers that delay the processing of input.
+    pub fn on_peer_activity(&mut self, at: MonotonicTime) {
+        self.idle.on_received(at);
+    }
+
     /// Checks the idle timeouts (2.4.5) and queues a heartbeat if the peer's timeout requires one. Call it at
     /// [`Connection::deadline`], or periodically.
     ///
--- a/src/frontend/amqp/client_events.rs
+++ b/src/frontend/amqp/client_events.rs
@@ -287,6 +287,7 @@
         let redirect = self.peers.config.redirect.as_ref();
         let is_draining = self.peers.clients.is_draining();
         for token in self.peers.clients.tokens() {
+            self.peers.clients.record_activity(self.ctx, token);
             let Some(client) = self.peers.clients.get(token) else { continue };
             if let Err(fault) = client.conn.tick(self.ctx.now) {
                 client.conn.close(Some(Box::new(fault.into())));
--- a/src/frontend/amqp/clients/client.rs
+++ b/src/frontend/amqp/clients/client.rs
@@ -20,6 +20,8 @@
     pub conn: Connection,
     /// Whether the connection is listed among those that may have pending output.
     pub(super) is_dirty: bool,
+    /// Whether the client is not read until the buffered messages are below the memory limit again.
+    pub(super) is_paused: bool,
     pub(super) address: Option<IpAddr>,
     pub(super) links: FastHashMap<LinkId, ClientLink>,
     /// The number of unanswered requests whose link is attached.
@@ -90,6 +92,7 @@
         Client {
             conn,
             is_dirty: false,
+            is_paused: false,
             address,
             links: FastHashMap::default(),
             open_requests: 0,
--- a/src/frontend/amqp/clients/mod.rs
+++ b/src/frontend/amqp/clients/mod.rs
@@ -183,14 +183,29 @@
 
     /// Stops reading from a client until [`Clients::take_paused`].
     pub fn pause(&mut self, token: Token) {
-        if !self.paused.contains(&token) {
+        if let Some(client) = self.by_token.get_mut(&token).filter(|client| !client.is_paused) {
+            client.is_paused = true;
             self.paused.push(token);
         }
     }
 
+    /// Records the recent activity of a client whose input may not have been processed: all of a paused client's input
+    /// waits, so its silence cannot be measured.
+    pub fn record_activity(&mut self, ctx: &FrontendContext, token: Token) {
+        let Some(client) = self.by_token.get_mut(&token) else { return };
+        let active_at = if client.is_paused { ctx.now } else { ctx.net.last_peer_activity(token) };
+        client.conn.on_peer_activity(active_at);
+    }
+
     /// Removes and returns the paused clients, which are to be read again.
     pub fn take_paused(&mut self) -> Vec<Token> {
-        std::mem::take(&mut self.paused)
+        let paused = std::mem::take(&mut self.paused);
+        for token in &paused {
+            if let Some(client) = self.by_token.get_mut(token) {
+                client.is_paused = false;
+            }
+        }
+        paused
     }
 
     /// Whether the node drains: new requests are rejected, and clients without open requests are disconnected.
--- a/src/net/buffered_sockets.rs
+++ b/src/net/buffered_sockets.rs
@@ -90,7 +90,9 @@
     }
 
     fn buffer_input(&mut self, token: Token, count: usize) {
+        let now = self.store.now();
         let Some(socket) = self.store.get_mut(token) else { return };
+        socket.record_peer_activity(now);
         socket.buffers.append_input(&self.read_chunk[..count]);
         if socket.uses_reserve() {
             self.store.descriptors_mut().reserve_mut().mark_active(token);
@@ -136,9 +138,15 @@
     /// Writes buffered output until the peer accepts no more. Returns whether there was any and all of it is
     /// written.
     fn write_output(&mut self, token: Token) -> bool {
+        let now = self.store.now();
         let Some(socket) = self.store.get_mut(token) else { return false };
-        let had_output = socket.buffers.pending_output_bytes() > 0;
-        match socket.buffers.write_pending(&socket.fd) {
+        let pending_bytes = socket.buffers.pending_output_bytes();
+        let had_output = pending_bytes > 0;
+        let written = socket.buffers.write_pending(&socket.fd);
+        if socket.buffers.pending_output_bytes() < pending_bytes {
+            socket.record_peer_activity(now);
+        }
+        match written {
             Ok(()) => {}
             Err(Errno::AGAIN) => return false,
             Err(error) if is_transfer_shortage(error) => {
--- a/src/net/reactor/queries.rs
+++ b/src/net/reactor/queries.rs
@@ -3,6 +3,7 @@
 use super::{ShortageCounts, SocketReactor};
 use crate::net::slab::Token;
 use crate::net::socket::{Socket, SocketState};
+use sparbank_time::MonotonicTime;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
 
@@ -39,6 +40,11 @@
         self.socket(token).is_some_and(Socket::is_read_closed)
     }
 
+    /// When octets from the connection's peer were last read, or when the peer last made room for buffered output.
+    pub fn last_peer_activity(&self, token: Token) -> MonotonicTime {
+        self.socket(token).map_or(MonotonicTime::ZERO, Socket::last_peer_activity)
+    }
+
     /// Number of buffered output bytes.
     pub fn pending_output_bytes(&self, token: Token) -> usize {
         self.socket(token).map_or(0, |socket| socket.buffers.pending_output_bytes())
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -65,6 +65,8 @@
     write_state: WriteState,
     /// The peer has closed its write side.
     read_closed: bool,
+    /// When octets from the peer were last read, or when it last made room for buffered output.
+    last_peer_activity: MonotonicTime,
     /// Reading and writing are suspended for lack of kernel memory.
     is_paused: bool,
     accept_info: AcceptInfo,
@@ -82,6 +84,7 @@
             state,
             write_state: WriteState::Open,
             read_closed: false,
+            last_peer_activity: MonotonicTime::ZERO,
             is_paused: false,
             accept_info: AcceptInfo {
                 listener: None,
@@ -172,6 +175,16 @@
         self.read_closed = true;
     }
 
+    /// Records that octets from the peer were read, or that it made room for buffered output.
+    pub(super) fn record_peer_activity(&mut self, now: MonotonicTime) {
+        self.last_peer_activity = now;
+    }
+
+    /// When octets from the peer were last read, or when it last made room for buffered output.
+    pub(super) fn last_peer_activity(&self) -> MonotonicTime {
+        self.last_peer_activity
+    }
+
     /// Requests that the write direction is shut down once the buffered output is written.
     pub(super) fn request_shutdown(&mut self) {
         if self.write_state == WriteState::Open {
--- a/tests/amqp_large_messages.rs
+++ b/tests/amqp_large_messages.rs
@@ -11,6 +11,9 @@
 
 /// The program under test.
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sparbank");
+/// Heartbeats of clients that the node does not read: sent for longer than its idle time-out in that test.
+const HEARTBEATS: u32 = 10;
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 
 const AMQP_SETTINGS: &str = r#"{"listen":"127.0.0.1:0"}"#;
 const CLASS: &str = "live-readings";
@@ -297,3 +300,40 @@
         assert_eq!(client.receive_delivery_state(), State::Accepted);
     }
 }
+
+/// While the buffer is full the node does not read its clients. It must not take them for silent meanwhile: their
+/// heartbeats arrive, and their deliveries are served once there is memory again.
+#[rstest]
+fn a_client_whose_input_waits_for_memory_is_not_disconnected_as_idle() {
+    const LIMIT: usize = 100_000;
+    let settings = format!(
+        r#"{{"listen":"127.0.0.1:0","max_held":{LIMIT},"keep":{LIMIT},"idle_ms":800,"server_idle_ms":20000}}"#
+    );
+    let mut bench = TestNode::start_with_servers(PROGRAM, vec![listener()], Some(&settings));
+    let [mut first, mut second] = [(); 2].map(|()| connect_client(&bench));
+    // Two deliveries that together exceed the limit: the node stops reading within the second one.
+    for id in 0..2 {
+        first.deliver_in_transfers(id, &message_with_key(60_000, "7f3a", &[7; LIMIT / 5 * 3]), 10_000);
+    }
+    let mut server = AmqpPeer::server(Peer::accept(&bench.servers[0]), 1_000, 65_536);
+    server.accept_sending_link(10, 1_000);
+    let mut ids = vec![server.receive_message().delivery_id];
+    assert!(counter_value(&bench.frontend_counters("amqp"), "buffered_bytes") >= LIMIT as u64);
+    second.send_on_first_link(0, &message_with_key(60_000, "7f3b", b"waits"));
+    for _ in 0..HEARTBEATS {
+        std::thread::sleep(HEARTBEAT_INTERVAL);
+        first.send_heartbeat();
+        second.send_heartbeat();
+    }
+    while let Some(id) = ids.pop() {
+        server.settle(id, State::Accepted);
+        if id < 2 {
+            ids.push(server.receive_message().delivery_id);
+        }
+    }
+    for (mut client, deliveries) in [(first, 2), (second, 1)] {
+        for _ in 0..deliveries {
+            assert_eq!(client.receive_delivery_state(), State::Accepted);
+        }
+    }
+}
--- a/tests/amqp_receiving.rs
+++ b/tests/amqp_receiving.rs
@@ -13,6 +13,9 @@
 
 /// The program under test.
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sparbank");
+/// Heartbeats of a client that does not read: sent for longer than the node's idle time-out in that test.
+const HEARTBEATS: u32 = 10;
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 
 const AMQP_SETTINGS: &str = r#"{"listen":"127.0.0.1:0"}"#;
 const CLASS: &str = "live-readings";
@@ -296,6 +299,39 @@
     }
 }
 
+/// While much output for a client is pending the node does not read from it. It must not take it for silent meanwhile:
+/// its heartbeats arrive, and it gets every delivery once it reads.
+#[rstest]
+fn a_slow_receiver_that_sends_heartbeats_is_not_disconnected_as_idle() {
+    const DELIVERIES: u32 = 1_000;
+    let settings = r#"{"listen":"127.0.0.1:0","idle_ms":800}"#;
+    let bench = TestNode::start_with_servers(PROGRAM, vec![listener()], Some(settings));
+    let (mut slow, _, mut server) = established_link(&bench);
+    slow.grant_credit(0, 0, DELIVERIES);
+    let serving = std::thread::spawn(move || {
+        let body = message_with_key(60_000, "k", &[7; 16_000]);
+        let mut id = 0;
+        while id < DELIVERIES {
+            let (flow, _) = read_until!(server, Flow);
+            let limit = flow.delivery_count.unwrap_or(0) + flow.link_credit.unwrap_or(0);
+            while id < limit.min(DELIVERIES) {
+                server.send(7, id, &body);
+                server.send_heartbeat();
+                id += 1;
+            }
+        }
+        server
+    });
+    for _ in 0..HEARTBEATS {
+        std::thread::sleep(HEARTBEAT_INTERVAL);
+        slow.send_heartbeat();
+    }
+    for _ in 0..DELIVERIES {
+        while read_until!(slow, Transfer).0.more == Some(true) {}
+    }
+    drop(serving.join().expect("the server's thread"));
+}
+
 #[rstest]
 fn a_drain_by_the_client_uses_up_its_credit() {
     let bench = start_bench(1);
