Give every evicted connection without a request its BUSY

Callers saw: a request whose connection was evicted was closed without an answer where the connection had sent a PING, was handed over by a predecessor, or was accepted and evicted in one iteration of the event loop.

Cause: the answer was a state of each connection, set by its frontend on Accepted (too late in one iteration, never on import) and cleared by a PING.

Evidence, tests that failed before ('' for BUSY): an_evicted_client_is_answered_after_a_ping on the sources before; an_imported_connection_that_is_evicted_is_answered and a_connection_accepted_and_evicted_in_one_iteration_is_answered with no answer set, as it was before the owner's first event.

Fix: SocketReactor::set_eviction_answer names the answer of an owner's peers, set once before the listener opens; the state of each connection is gone.

--- a/src/frontend/text/mod.rs
+++ b/src/frontend/text/mod.rs
@@ -57,7 +57,7 @@
 use unresponsive_servers::OverdueSession;
 
 /// The answer to a client whose connection is evicted before it has sent a request.
-const EVICTION_ANSWER: &[u8] = b"BUSY\r\n";
+pub const EVICTION_ANSWER: &[u8] = b"BUSY\r\n";
 
 /// The text protocol's frontend.
 #[derive(Default)]
@@ -131,7 +131,6 @@
         match event.kind {
             SocketEventKind::Accepted => {
                 self.awaiting.insert(token, 0);
-                ctx.net.set_eviction_answer(token, Some(EVICTION_ANSWER));
             }
             SocketEventKind::Evicted => {
                 ctx.requests.counters_mut().idle_closed += 1;
--- a/src/frontend/text/request_opening.rs
+++ b/src/frontend/text/request_opening.rs
@@ -49,7 +49,6 @@
     // The external load balancer routes clients to this node only if the answer is PONG.
     let answer: &[u8] = if ctx.accepts_clients { b"PONG\r\n" } else { b"BUSY\r\n" };
     ctx.net.send(token, answer);
-    ctx.net.set_eviction_answer(token, None);
 }
 
 /// Closes a connection on which no request has been received. A request that arrives at the same time is still
--- a/src/net/eviction.rs
+++ b/src/net/eviction.rs
@@ -4,7 +4,7 @@
 
 use super::buffered_sockets::{BufferedSockets, CloseStatus};
 use super::deadlines::DeadlineQueue;
-use super::event::SocketEventKind;
+use super::event::{SocketEventKind, SocketOwner};
 use super::linger::{release, LingerEnd};
 use super::slab::Token;
 use super::socket::Socket;
@@ -30,6 +30,8 @@
     delivering: DeadlineQueue,
     /// Accepted connections whose handshake may be incomplete, ordered by deadline.
     awaiting_handshake: DeadlineQueue,
+    /// What the peers of these owners are sent when their connections are evicted.
+    answers: Vec<(SocketOwner, &'static [u8])>,
 }
 
 impl EvictionCandidates {
@@ -65,6 +67,26 @@
         closed.all(|token| store.get(token).is_none())
     }
 
+    /// Sets what the peers of an owner are sent when their connections are evicted with an incomplete handshake.
+    pub(super) fn set_answer(&mut self, owner: SocketOwner, answer: &'static [u8]) {
+        self.answers.retain(|(other, _)| *other != owner);
+        self.answers.push((owner, answer));
+    }
+
+    /// Closes a connection if its handshake is still incomplete, and notifies its owner. Returns whether it was closed.
+    fn evict_if_handshake_incomplete(&self, store: &mut SocketStore, token: Token) -> bool {
+        let is_candidate = |socket: &&Socket| socket.is_awaiting_handshake() && socket.is_open();
+        let Some(socket) = store.get(token).filter(is_candidate) else { return false };
+        let answer = self.answers.iter().find(|(owner, _)| *owner == socket.owner);
+        if let Some((_, answer)) = answer {
+            // Best effort, without buffering the rest. A request may already be on its way, and this is its answer.
+            let _ = system::write(&socket.fd, answer);
+        }
+        store.emit(token, SocketEventKind::Evicted);
+        store.close(token);
+        true
+    }
+
     /// Starts the time limit for the handshake of an accepted connection.
     pub(super) fn await_handshake(&mut self, now: MonotonicTime, token: Token) {
         self.awaiting_handshake.push_latest(now + HANDSHAKE_TIMEOUT, token);
@@ -120,7 +142,7 @@
                 skipped.push(deadline);
                 continue;
             }
-            evicted = evict_if_handshake_incomplete(&mut sockets.store, deadline.token());
+            evicted = self.evict_if_handshake_incomplete(&mut sockets.store, deadline.token());
             if evicted {
                 break;
             }
@@ -151,17 +173,3 @@
     }
     sockets.store.get(token).is_some_and(|socket| socket.is_awaiting_handshake() && has_line(socket))
 }
-
-/// Closes a connection if its handshake is still incomplete, and notifies its owner. Returns whether it was closed.
-fn evict_if_handshake_incomplete(store: &mut SocketStore, token: Token) -> bool {
-    let is_candidate = |socket: &&Socket| socket.is_awaiting_handshake() && socket.is_open();
-    let Some(socket) = store.get(token).filter(is_candidate) else { return false };
-    if let Some(eviction_answer) = socket.eviction_answer() {
-        // Best effort, without buffering the rest. A request may already be on its way, and this is its
-        // answer.
-        let _ = system::write(&socket.fd, eviction_answer);
-    }
-    store.emit(token, SocketEventKind::Evicted);
-    store.close(token);
-    true
-}
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -348,12 +348,10 @@
         self.candidates.reclaim_descriptors(&mut self.sockets)
     }
 
-    /// Sets what the peer is sent if its connection is evicted before its handshake is complete. `None` once
-    /// the peer has been sent an answer.
-    pub fn set_eviction_answer(&mut self, token: Token, eviction_answer: Option<&'static [u8]>) {
-        if let Some(socket) = self.sockets.store.get_mut(token) {
-            socket.set_eviction_answer(eviction_answer);
-        }
+    /// Sets what the peers of an owner are sent when their connections are evicted before their handshakes are complete.
+    /// The peers of other owners are sent nothing.
+    pub fn set_eviction_answer(&mut self, owner: SocketOwner, answer: &'static [u8]) {
+        self.candidates.set_answer(owner, answer);
     }
 
     /// Removes a connection from the reactor so that another process can continue it. Returns `None` if
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -3,7 +3,7 @@
 
 use crate::net::system::faults::{all_triggered, inject_fault};
 use crate::net::system::SystemCall;
-use crate::net::{SocketEventKind, SocketOwner, SocketReactor, Token};
+use crate::net::{ExportedConnection, SocketEventKind, SocketOwner, SocketReactor, Token};
 use rstest::rstest;
 use rustix::io::Errno;
 use sparbank_time::MonotonicTime;
@@ -13,6 +13,8 @@
 
 /// Limit on the reactor's descriptors.
 const DESCRIPTOR_LIMIT: usize = 64;
+/// The owner of the listeners and their connections.
+const OWNER: SocketOwner = SocketOwner::Admin;
 /// Maximum wait of one iteration.
 const ITERATION: Duration = Duration::from_millis(20);
 /// A test fails after this many iterations without the expected event.
@@ -21,8 +23,9 @@
 
 fn reactor_with_listener() -> (SocketReactor, SocketAddr) {
     let mut reactor = SocketReactor::new(DESCRIPTOR_LIMIT).expect("create the reactor");
+    reactor.set_eviction_answer(OWNER, b"BUSY\r\n");
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let addr = reactor.listen(any, SocketOwner::Admin).expect("listen on a free port");
+    let addr = reactor.listen(any, OWNER).expect("listen on a free port");
     (reactor, addr)
 }
 
@@ -222,3 +225,41 @@
     assert_eq!(held_after_eviction(), [false, false, false]);
     assert!(!reactor.candidates.evict(&mut reactor.sockets));
 }
+
+/// Reads what a peer has been sent until the connection ends.
+fn read_to_close(peer: &mut TcpStream) -> String {
+    let mut received = String::new();
+    peer.read_to_string(&mut received).expect("read until an orderly close");
+    received
+}
+
+/// Guards against a close without an answer: the owner has not seen the connection yet when it is evicted for the next
+/// one, and a request may be on its way.
+#[test]
+fn a_connection_accepted_and_evicted_in_one_iteration_is_answered() {
+    let (mut reactor, addr) = reactor_with_listener();
+    // The listener and one connection leave fewer free descriptors than are kept for attempts.
+    reactor.set_descriptor_limit(18);
+    let mut evicted = TcpStream::connect(addr).expect("connect to the listener");
+    let _next = TcpStream::connect(addr).expect("connect to the listener");
+    let events = reactor.poll(MonotonicTime::ZERO, ITERATION).expect("poll");
+    let kinds: Vec<SocketEventKind> = events.iter().map(|event| event.kind).collect();
+    assert_eq!(
+        kinds,
+        [SocketEventKind::Accepted, SocketEventKind::Accepted, SocketEventKind::Evicted],
+        "all in one iteration"
+    );
+    assert_eq!(read_to_close(&mut evicted), "BUSY\r\n");
+}
+
+/// A connection that a predecessor handed over before its request is answered as one that was accepted here.
+#[test]
+fn an_imported_connection_that_is_evicted_is_answered() {
+    let (mut predecessor, addr) = reactor_with_listener();
+    let (mut client, token) = accepted_client(&mut predecessor, addr);
+    let ExportedConnection { fd, connection } = predecessor.export_connection(token).expect("a connection");
+    let (mut reactor, _) = reactor_with_listener();
+    reactor.import_connection(fd, connection, OWNER).expect("import the connection");
+    assert!(reactor.candidates.evict(&mut reactor.sockets));
+    assert_eq!(read_to_close(&mut client), "BUSY\r\n");
+}
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -48,8 +48,6 @@
     listener: Option<Token>,
     /// The owner has not reported a complete handshake yet.
     awaiting_handshake: bool,
-    /// Bytes that the peer is sent if the connection is evicted; `None` if it is evicted without an answer.
-    eviction_answer: Option<&'static [u8]>,
     /// The socket uses a reserved descriptor, or is the listener whose connections use them.
     uses_reserve: bool,
 }
@@ -86,12 +84,7 @@
             read_closed: false,
             last_peer_activity: MonotonicTime::ZERO,
             is_paused: false,
-            accept_info: AcceptInfo {
-                listener: None,
-                awaiting_handshake: false,
-                eviction_answer: None,
-                uses_reserve: false,
-            },
+            accept_info: AcceptInfo { listener: None, awaiting_handshake: false, uses_reserve: false },
         }
     }
 
@@ -263,14 +256,4 @@
     pub(super) fn is_awaiting_handshake(&self) -> bool {
         self.accept_info.awaiting_handshake
     }
-
-    /// Sets the bytes that the peer is sent if the connection is evicted.
-    pub(super) fn set_eviction_answer(&mut self, eviction_answer: Option<&'static [u8]>) {
-        self.accept_info.eviction_answer = eviction_answer;
-    }
-
-    /// Returns the bytes that the peer is sent if the connection is evicted.
-    pub(super) fn eviction_answer(&self) -> Option<&'static [u8]> {
-        self.accept_info.eviction_answer
-    }
 }
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -19,6 +19,7 @@
 use crate::config::Config;
 use crate::discovery::{DiscoveryClient, EndpointRegistry};
 use crate::flow_export::FlowExport;
+use crate::frontend::text::EVICTION_ANSWER;
 use crate::frontend::{FrontendSetup, Frontends, ParsedFrontendFile, TimerEvent, TEXT_FRONTEND};
 use crate::handover::{self, Handover, PredecessorState, StateSnapshot};
 use crate::hash::fnv1a;
@@ -158,6 +159,7 @@
     /// Listens for text protocol clients, on the socket that the platform passes if there is one.
     fn listen_for_clients(&mut self, passed_listener: Option<OwnedFd>) -> Result<(), ServeError> {
         let owner = SocketOwner::Frontend(TEXT_FRONTEND);
+        self.net.set_eviction_answer(owner, EVICTION_ANSWER);
         let listening = match passed_listener {
             Some(socket) => self.net.register_listener(socket, owner),
             None => retry_on_shortage(|| self.net.listen(self.config.listen, owner), is_shortage),
--- a/tests/text_overload.rs
+++ b/tests/text_overload.rs
@@ -143,3 +143,14 @@
     let _later: Vec<Peer> = (0..4).map(|_| Peer::connect(bench.text_addr)).collect();
     assert_eq!([half_a_line.read_line(), idle.read_line()], ["BUSY", "BUSY"]);
 }
+
+/// As above, for a client whose connection was checked by `PING` before its request.
+#[test]
+fn an_evicted_client_is_answered_after_a_ping() {
+    let bench = TestNode::start(PROGRAM, 1);
+    let mut checked = bench.connect_client("PING");
+    assert_eq!(checked.read_line(), "PONG");
+    limit_descriptors(&bench, 4);
+    let _later: Vec<Peer> = (0..4).map(|_| Peer::connect(bench.text_addr)).collect();
+    assert_eq!(checked.read_line(), "BUSY");
+}
