Sync the AMQP users' file before and after it takes its name

Callers saw (after a power cut): an empty users' file, with which the node does not start; and a file with salted keys that was readable by all after a user was added, whatever its owner had set.

Cause: add_user wrote a new file and renamed it without a sync, with the permissions of the umask.

--- a/crates/test-support/src/node_config.rs
+++ b/crates/test-support/src/node_config.rs
@@ -3,6 +3,7 @@
 use crate::watch_protocol::endpoint_json;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::process::Command;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::OnceLock;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -35,6 +36,16 @@
     path
 }
 
+/// Compiles a C source file to a library that a test preloads into the program (`LD_PRELOAD`), and returns its path.
+pub fn preload_library(source: &str) -> PathBuf {
+    let library = temp_file("preload.so", "");
+    let mut compiler = Command::new("cc");
+    compiler.args(["-shared", "-fPIC", "-O1", "-o"]).arg(&library).arg(source);
+    let compiled = compiler.status().expect("a C compiler, which links Rust programs too");
+    assert!(compiled.success(), "{source} does not compile");
+    library
+}
+
 /// A suffix that makes a file name unique among all test processes of the machine. The process id alone is not enough:
 /// ids are reused, and an earlier process with the same id may have left its files behind.
 fn unique_suffix() -> String {
--- a/src/frontend/amqp/users.rs
+++ b/src/frontend/amqp/users.rs
@@ -1,11 +1,13 @@
 //! The users file: the users who may connect, their SCRAM keys, and their rights.
 
 use super::error::FileError;
+use atomic_write_file::AtomicWriteFile;
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
 use serde::{Deserialize, Serialize};
 use sparbank_amqp::{Mechanism, Pbkdf2, SaltedKeys};
 use std::collections::BTreeMap;
+use std::io::{self, Write};
 use std::path::Path;
 use std::rc::Rc;
 
@@ -173,7 +175,7 @@
 }
 
 /// Adds a user to a users file, or replaces the user's entry. The file is created if it does not exist, and is replaced
-/// atomically.
+/// atomically: after a crash or a power cut it has its old content or the new one.
 ///
 /// # Errors
 /// The file cannot be read or written, or is not a users file, or the operating system provides no random numbers.
@@ -185,9 +187,16 @@
     };
     file.users.insert(user.to_string(), UserEntry::new(password, rights)?);
     let text = serde_json::to_string_pretty(&file).map_err(|error| FileError::parse(path, error))?;
-    let temporary_file = path.with_extension("new");
-    std::fs::write(&temporary_file, text + "\n").map_err(|error| FileError::io(&temporary_file, error))?;
-    std::fs::rename(&temporary_file, path).map_err(|error| FileError::io(path, error))
+    replace_file(path, &(text + "\n")).map_err(|error| FileError::io(path, error))
+}
+
+/// Replaces a file's content, and syncs the file before and its folder after it takes the name.
+fn replace_file(path: &Path, text: &str) -> io::Result<()> {
+    let mut file = AtomicWriteFile::open(path)?;
+    file.write_all(text.as_bytes())?;
+    // A commit whose own sync fails leaves the temporary file behind.
+    file.sync_all()?;
+    file.commit()
 }
 
 #[cfg(test)]
--- a/tests/clock_steps.rs
+++ b/tests/clock_steps.rs
@@ -3,11 +3,10 @@
 
 use rstest::rstest;
 use sparbank_test_support::{
-    accept_any, endpoint_entry, established_client, listener, request_line, temp_file, HandoverFolder,
-    HandoverNode, Peer, Signal, TestNode,
+    accept_any, endpoint_entry, established_client, listener, preload_library, request_line, temp_file,
+    HandoverFolder, HandoverNode, Peer, Signal, TestNode,
 };
 use std::path::PathBuf;
-use std::process::Command;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The program under test.
@@ -33,11 +32,7 @@
 
 impl WallClock {
     fn new() -> WallClock {
-        let library = temp_file("clock_step.so", "");
-        let source = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/fixtures/clock_step.c");
-        let compiled =
-            Command::new("cc").args(["-shared", "-fPIC", "-O1", "-o"]).arg(&library).arg(source).status();
-        assert!(compiled.expect("a C compiler, which links Rust programs too").success());
+        let library = preload_library(concat!(env!("CARGO_MANIFEST_DIR"), "/tests/fixtures/clock_step.c"));
         WallClock { library, offset_file: temp_file("clock_offset", "0") }
     }
 
