Write the pending output before the close_notify alert

Callers saw: an orderly end under TLS without the last answer, where input that had waited is processed together with the end of the connection.

Cause: write_final_output queued the alert and then encrypted the pending output; TLS peers ignore what follows the alert.

Evidence: the_last_output_precedes_the_close_notify failed before (0 octets of plaintext before the peer's close, 8 expected).

Fix: the output is encrypted first, then the alert.

--- a/src/frontend/amqp/clients/client.rs
+++ b/src/frontend/amqp/clients/client.rs
@@ -240,22 +240,42 @@
 
     /// Passes the pending output to the socket, encrypted if the client uses TLS.
     pub fn write_pending(&mut self, ctx: &mut FrontendContext, token: Token) {
-        let mut out = self.conn.take_output(ctx.now);
-        if let Some(tls) = &mut self.tls {
-            let mut ciphertext = Vec::new();
-            tls.encrypt(&out, &mut ciphertext);
-            out = ciphertext;
-        }
+        let out = self.take_output(ctx.now);
         if !out.is_empty() {
             ctx.net.send(token, &out);
         }
     }
 
-    /// Queues a close_notify alert if the client uses TLS, then writes the pending output.
+    /// Passes the pending output to the socket, followed by a close_notify alert if the client uses TLS.
     pub fn write_final_output(&mut self, ctx: &mut FrontendContext, token: Token) {
+        let out = self.take_final_output(ctx.now);
+        if !out.is_empty() {
+            ctx.net.send(token, &out);
+        }
+    }
+
+    fn take_output(&mut self, now: MonotonicTime) -> Vec<u8> {
+        let out = self.conn.take_output(now);
+        match &mut self.tls {
+            Some(tls) => {
+                let mut ciphertext = Vec::new();
+                tls.encrypt(&out, &mut ciphertext);
+                ciphertext
+            }
+            None => out,
+        }
+    }
+
+    fn take_final_output(&mut self, now: MonotonicTime) -> Vec<u8> {
+        let mut out = self.take_output(now);
         if let Some(tls) = &mut self.tls {
+            // TLS peers ignore what follows the alert.
             tls.send_close_notify();
+            tls.encrypt(&[], &mut out);
         }
-        self.write_pending(ctx, token);
+        out
     }
 }
+
+#[cfg(test)]
+mod tests;
