Remove lost servers from the reply nodes of AMQP clients

Callers saw: after 16 lost server connections no reply arrived at a reply node any more; a reply cut off by a lost connection blocked all later ones; the outcome of an old reply could settle a delivery of another connection.

Cause: a lost connection left its source in place, with its partly sent delivery; a detached source's index was reused while keys of deliveries referred to it.

Evidence: a_server_that_reconnects_often_still_reaches_a_reply_node, a_reply_cut_off_by_a_lost_connection_does_not_block_later_replies and the detach case of the_outcome_of_a_lost_servers_reply_does_not_settle_a_later_one failed before (no reply, no reply, Released for Accepted).

Fix: the sources of a lost connection are removed, the cut-off reply is aborted, the others go on; sources have ids that are not reused, in a file of their own.

--- a/src/frontend/amqp/forwarding/mod.rs
+++ b/src/frontend/amqp/forwarding/mod.rs
@@ -6,6 +6,7 @@
 
 mod forwarder;
 mod outcome;
+mod sources;
 mod table;
 
 use super::connection_link::ConnectionLink;
@@ -326,16 +327,20 @@
         }
     }
 
-    /// Handles the loss of a server's connection on which a forwarder received.
+    /// Handles the loss of the server's connection with this token, on which a forwarder received.
     pub fn on_source_connection_lost(
         &mut self,
         ctx: &mut FrontendContext,
         peers: &mut Peers<'_>,
+        token: Token,
         id: ForwarderId,
     ) {
         let Some(forwarder) = self.forwarders.get(id) else { return };
-        // A reply node is not removed, because other servers may send to it.
-        let Some(request_id) = forwarder.request_id else { return };
+        let Some(request_id) = forwarder.request_id else {
+            // A reply node is not removed, because other servers may send to it.
+            forwarder.remove_sources_on(token, peers.clients);
+            return self.forward(ctx, peers, id);
+        };
         if !forwarder.is_established {
             return self.on_attempt_failed(ctx, peers, id, Outcome::Reset);
         }
@@ -356,7 +361,7 @@
         let Some(forwarder) = self.forwarders.get(id) else { return };
         forwarder.remove_source(source, peers.clients);
         // A reply node is not removed, because other servers may send to it.
-        let Some(request_id) = forwarder.request_id else { return };
+        let Some(request_id) = forwarder.request_id else { return self.forward(ctx, peers, id) };
         let condition = error.as_ref().map(|error| error.condition.as_str());
         if !forwarder.is_established {
             return self.on_attempt_failed(ctx, peers, id, refused_attach_outcome(condition));
--- a/src/frontend/amqp/server_events.rs
+++ b/src/frontend/amqp/server_events.rs
@@ -145,7 +145,7 @@
         }
         let lost = self.peers.servers.on_connection_lost(self.ctx, token, self.requests.deliveries());
         for id in lost.forwarders {
-            self.forwarding.on_source_connection_lost(self.ctx, &mut self.peers, id);
+            self.forwarding.on_source_connection_lost(self.ctx, &mut self.peers, token, id);
         }
         self.on_attempts_ended(lost.ended);
     }
--- a/tests/amqp_receiving.rs
+++ b/tests/amqp_receiving.rs
@@ -415,3 +415,104 @@
     assert_eq!((disposition.first, disposition.state), (Some(0), Some(State::Accepted)));
     assert_eq!([bench.counter("requests"), bench.counter("served")], [1, 1]);
 }
+
+/// A client with a reply node and a sending link, whose server's connections the test loses.
+struct ReplyBench {
+    bench: TestNode,
+    client: AmqpPeer,
+    /// The address of the reply node.
+    address: String,
+    requests: u32,
+}
+
+impl ReplyBench {
+    fn start() -> ReplyBench {
+        let bench = start_bench(1);
+        let mut client = connect_client(&bench);
+        let source = Source { dynamic: Some(true), ..Default::default() };
+        let attach = client.attach_receiver(5, source).expect("accepted");
+        let address = attach.source.expect("a source").address.expect("an address that the node generated");
+        client.grant_credit(5, 0, 100);
+        assert!(client.attach_sender(CLASS).expect("the class is known") > 0);
+        ReplyBench { bench, client, address, requests: 0 }
+    }
+
+    /// Sends a request. Returns its server on a new connection, attached to the reply node, with the request accepted.
+    fn attached_server(&mut self) -> AmqpPeer {
+        self.client
+            .send_on_first_link(self.requests, &message_to(CLASS, Some(&self.address), 60_000, b"request"));
+        self.requests += 1;
+        let mut server = AmqpPeer::server(Peer::accept(&self.bench.servers[0]), 1000, 65536);
+        server.accept_sending_link(10, 1000);
+        let (request, _) = read_until!(server, Transfer);
+        server.send_performative(reply_attach(10, &self.address));
+        assert!(read_until!(server, Flow).0.link_credit > Some(0), "the reply node takes the server's link");
+        server.settle(request.delivery_id.expect("an id"), State::Accepted);
+        assert_eq!(self.client.receive_delivery_state(), State::Accepted);
+        server
+    }
+}
+
+/// A lost connection of a server frees its place at a reply node: however often a server reconnects, its replies arrive.
+#[rstest]
+fn a_server_that_reconnects_often_still_reaches_a_reply_node() {
+    /// More than the servers that may be attached to one reply node.
+    const RECONNECTS: u32 = 17;
+    let mut replies = ReplyBench::start();
+    for _ in 0..RECONNECTS {
+        drop(replies.attached_server());
+    }
+    let mut server = replies.attached_server();
+    server.send(10, 0, &message_with_key(60_000, "k", b"reply"));
+    let (_, payload) = read_until!(replies.client, Transfer);
+    assert!(payload.ends_with(b"reply"));
+}
+
+/// A reply that its server has only partly sent when its connection is lost is aborted, and the replies of other
+/// connections go on.
+#[rstest]
+fn a_reply_cut_off_by_a_lost_connection_does_not_block_later_replies() {
+    let mut replies = ReplyBench::start();
+    let mut server = replies.attached_server();
+    let first = Transfer {
+        handle: Some(10),
+        delivery_id: Some(0),
+        delivery_tag: Tag::new(b"cut"),
+        more: Some(true),
+        ..Default::default()
+    };
+    server.send_frame(sparbank_amqp::AMQP, first.into(), &message_with_key(60_000, "k", b"cut off"));
+    assert_eq!(read_until!(replies.client, Transfer).0.more, Some(true));
+    drop(server);
+    let mut server = replies.attached_server();
+    server.send(10, 0, &message_with_key(60_000, "k", b"reply"));
+    loop {
+        let (transfer, payload) = read_until!(replies.client, Transfer);
+        if transfer.aborted != Some(true) {
+            assert!(payload.ends_with(b"reply"));
+            break;
+        }
+    }
+}
+
+/// The outcome of a reply whose server's link or connection has ended concerns no delivery of its next connection.
+#[rstest]
+fn the_outcome_of_a_lost_servers_reply_does_not_settle_a_later_one(
+    #[values(false, true)] detaches_first: bool,
+) {
+    let mut replies = ReplyBench::start();
+    let mut lost = replies.attached_server();
+    lost.send(10, 0, &message_with_key(60_000, "k", b"first"));
+    let first = read_until!(replies.client, Transfer).0.delivery_id.expect("an id");
+    if detaches_first {
+        lost.send_performative(Detach { handle: Some(10), closed: Some(true), ..Default::default() });
+        read_until!(lost, Detach);
+    }
+    drop(lost);
+    let mut server = replies.attached_server();
+    server.send(10, 0, &message_with_key(60_000, "k", b"second"));
+    let second = read_until!(replies.client, Transfer).0.delivery_id.expect("an id");
+    replies.client.settle(first, State::Released);
+    replies.client.settle(second, State::Accepted);
+    assert_eq!(read_until!(server, Disposition).0.state, Some(State::Accepted));
+}
