Forget servers that were removed long ago and reuse their ids

Callers saw: nothing at once; memory and the cost of each endpoint list grew with every server that was ever listed.

Cause: ids of servers are indexes that were never given back; registry, balancer, latencies and AMQP queues kept their state of each.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -81,6 +81,8 @@
     pub failed_connects: u64,
     /// Log lines dropped because writing to standard error would have blocked.
     pub log_lines_dropped: u64,
+    /// Servers that the endpoint registry holds now: the listed ones, and those that were removed recently.
+    pub known_servers: u64,
     /// Admin calls that started a drain.
     pub drains: u64,
     /// Admin calls that ended a drain.
@@ -111,7 +113,7 @@
     }
 
     /// Returns the name and value of every counter, in the order of the log line.
-    fn entries(&self) -> [(&'static str, u64); 42] {
+    fn entries(&self) -> [(&'static str, u64); 43] {
         [
             ("requests", self.requests),
             ("resumed", self.resumed),
@@ -150,6 +152,7 @@
             ("transfer_pauses", self.transfer_pauses),
             ("failed_connects", self.failed_connects),
             ("log_lines_dropped", self.log_lines_dropped),
+            ("known_servers", self.known_servers),
             ("drains", self.drains),
             ("resumes", self.resumes),
             ("admin_accepted", self.admin_accepted),
--- a/src/discovery/registry.rs
+++ b/src/discovery/registry.rs
@@ -4,18 +4,26 @@
 use super::wall_clock::WallClockOffsets;
 use crate::model::{Endpoint, Event, ListKind, ServerId, Status};
 use sparbank_time::{DurationExt, MonotonicTime, WallTime};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The earliest start time; zero is reserved for "long ago".
 const EARLIEST_START: MonotonicTime = MonotonicTime::from_nanos(1);
 
+/// How long a removed endpoint is remembered: a list from before its removal must not mark it as ready, and if it
+/// returns, it keeps its id.
+const REMOVED_RETENTION: Duration = Duration::from_secs(3_600);
+/// Number of removed endpoints above which those that were removed first are forgotten earlier.
+const MAX_REMOVED_ENDPOINTS: usize = 4_096;
+
 /// The last known state of an endpoint.
 pub struct RegistryEntry {
     document: EndpointDocument,
     /// When the endpoint's process started, on the node's clock. Zero means long ago.
     started_at: MonotonicTime,
+    /// When the endpoint was removed from the list, on the node's clock.
+    removed_at: Option<MonotonicTime>,
 }
 
 impl RegistryEntry {
@@ -33,9 +41,14 @@
     pub fn is_ready(&self) -> bool {
         self.document.lifecycle == EndpointLifecycle::Ready
     }
+
+    fn remove(&mut self, now: MonotonicTime) {
+        self.document.lifecycle = EndpointLifecycle::Gone;
+        self.removed_at.get_or_insert(now);
+    }
 }
 
-/// All endpoints that the discovery service has ever reported to this node.
+/// The endpoints that the discovery service lists, and those that it has removed recently.
 pub struct EndpointRegistry {
     zones: Vec<String>,
     /// Converts the server start times that discovery reports, which are wall-clock times.
@@ -43,9 +56,11 @@
     /// The node's clock when the wall clock was last read.
     now: MonotonicTime,
     generation: u64,
-    /// Indexed by [`ServerId`]; a removed endpoint keeps its entry.
-    entries: Vec<RegistryEntry>,
+    /// Indexed by [`ServerId`]. A removed endpoint keeps its entry until it is forgotten, which leaves `None`.
+    entries: Vec<Option<RegistryEntry>>,
     ids: HashMap<String, ServerId>,
+    /// The ids of forgotten endpoints, which are reused for new ones.
+    vacant_ids: BTreeSet<ServerId>,
     /// Number of lists with an older generation than the current one.
     stale_lists: u64,
     /// The last generation of the previous source. Set when discovery moves to another address, until the first
@@ -64,6 +79,7 @@
             generation: 0,
             entries: Vec::new(),
             ids: HashMap::new(),
+            vacant_ids: BTreeSet::new(),
             stale_lists: 0,
             previous_source_generation: None,
         }
@@ -83,7 +99,13 @@
 
     /// Returns an endpoint by its id.
     pub fn entry(&self, server: ServerId) -> Option<&RegistryEntry> {
-        self.entries.get(server.0 as usize)
+        self.entries.get(server.0 as usize)?.as_ref()
+    }
+
+    /// Iterates over the known endpoints in the order of their ids.
+    fn known(&self) -> impl Iterator<Item = (ServerId, &RegistryEntry)> {
+        let entries = self.entries.iter().enumerate();
+        entries.filter_map(|(index, entry)| Some((ServerId(index as u32), entry.as_ref()?)))
     }
 
     /// Returns the id of an endpoint by its name in the discovery service.
@@ -96,10 +118,38 @@
         self.stale_lists
     }
 
+    /// Returns the number of endpoints that are listed or remembered.
+    pub fn known_count(&self) -> usize {
+        self.ids.len()
+    }
+
     /// Returns the endpoints that do not accept new connections.
     pub fn not_ready(&self) -> Vec<ServerId> {
-        let ids = (0..self.entries.len()).map(|index| ServerId(index as u32));
-        ids.filter(|id| !self.entries[id.0 as usize].is_ready()).collect()
+        self.known().filter(|(_, entry)| !entry.is_ready()).map(|(server, _)| server).collect()
+    }
+
+    /// Returns the endpoints that need not be remembered any more: those that were removed long ago and, while there are
+    /// very many removed ones, those that were removed first.
+    pub fn forgettable(&self) -> Vec<ServerId> {
+        let removal = |(server, entry): (ServerId, &RegistryEntry)| Some((entry.removed_at?, server));
+        let mut removed: Vec<(MonotonicTime, ServerId)> = self.known().filter_map(removal).collect();
+        removed.sort_unstable();
+        let excess = removed.len().saturating_sub(MAX_REMOVED_ENDPOINTS);
+        let is_expired = |at: MonotonicTime| self.now.saturating_duration_since(at) > REMOVED_RETENTION;
+        let forgettable =
+            removed.iter().enumerate().filter(|(index, (at, _))| *index < excess || is_expired(*at));
+        forgettable.map(|(_, (_, server))| *server).collect()
+    }
+
+    /// Forgets endpoints, whose ids are then reused. The caller makes sure that nothing refers to them.
+    pub fn forget(&mut self, servers: &[ServerId]) {
+        for server in servers {
+            let forgotten = self.entries.get_mut(server.0 as usize).and_then(Option::take);
+            if let Some(entry) = forgotten {
+                self.ids.remove(&entry.document.name);
+                self.vacant_ids.insert(*server);
+            }
+        }
     }
 
     /// Returns the generation of the newest list from the current source, or zero before the first one.
@@ -114,7 +164,7 @@
 
     /// Returns all known endpoints as a complete list.
     pub fn snapshot(&self) -> EndpointListDocument {
-        let endpoints = self.entries.iter().map(|entry| entry.document.clone()).collect();
+        let endpoints = self.known().map(|(_, entry)| entry.document.clone()).collect();
         EndpointListDocument { generation: self.generation, is_complete: true, endpoints }
     }
 
@@ -152,8 +202,8 @@
         let is_relevant = |document: &&EndpointDocument| !(is_stale && self.has_stopped(document));
         let changed: Vec<EndpointDocument> = list.endpoints.iter().filter(is_relevant).cloned().collect();
         if is_complete && !is_older_than_current {
-            for entry in &mut self.entries {
-                entry.document.lifecycle = EndpointLifecycle::Gone;
+            for entry in self.entries.iter_mut().flatten() {
+                entry.remove(self.now);
             }
         }
         changed.into_iter().map(|document| self.insert(document)).collect()
@@ -169,20 +219,29 @@
     }
 
     fn insert(&mut self, document: EndpointDocument) -> Endpoint {
-        let server = self.id_of(&document.name).unwrap_or(ServerId(self.entries.len() as u32));
+        let server = self.id_of(&document.name).unwrap_or_else(|| self.assign_id(&document.name));
         let started_at = self.started_at(server, document.started_at_ms);
         let endpoint = self.endpoint(server, &document, started_at);
-        let entry = RegistryEntry { document, started_at };
-        match self.entries.get_mut(server.0 as usize) {
-            Some(known) => *known = entry,
-            None => {
-                self.ids.insert(entry.document.name.clone(), server);
-                self.entries.push(entry);
+        let removed_at = match document.lifecycle {
+            EndpointLifecycle::Gone => {
+                Some(self.entry(server).and_then(|known| known.removed_at).unwrap_or(self.now))
             }
-        }
+            EndpointLifecycle::Ready | EndpointLifecycle::Draining => None,
+        };
+        self.entries[server.0 as usize] = Some(RegistryEntry { document, started_at, removed_at });
         endpoint
     }
 
+    /// Assigns the id of a forgotten endpoint to a new one, or else a new id.
+    fn assign_id(&mut self, name: &str) -> ServerId {
+        let server = self.vacant_ids.pop_first().unwrap_or_else(|| {
+            self.entries.push(None);
+            ServerId((self.entries.len() - 1) as u32)
+        });
+        self.ids.insert(name.to_string(), server);
+        server
+    }
+
     /// Converts a server's start time to the node's clock. The result is computed once for each process, so later steps
     /// of the wall clock do not change it. Zero ("long ago") stays zero.
     fn started_at(&self, server: ServerId, started_at_ms: u64) -> MonotonicTime {
--- a/src/discovery/registry/tests.rs
+++ b/src/discovery/registry/tests.rs
@@ -76,3 +76,48 @@
     assert_eq!((kind, endpoints.len()), (ListKind::Saved, 3));
     assert_eq!(serde_json::to_string(&registry.snapshot()).expect("serializable"), SNAPSHOT.trim_end());
 }
+
+/// Guards a long-running node against a registry that grows with each server that was ever listed. Within the
+/// retention a removed endpoint is remembered, so that a stale list does not mark it as ready.
+#[test]
+fn a_removed_endpoint_is_forgotten_after_its_retention_and_its_id_is_reused() {
+    let mut registry = EndpointRegistry::new(Vec::new(), NOW, WALL_NOW);
+    registry.apply(&list(5, true, &[("a", "ready", 0), ("b", "ready", 0)]), ListScope::Complete);
+    registry.apply(&list(6, false, &[("a", "gone", 0)]), ListScope::Changes);
+    registry.observe_clocks(NOW + REMOVED_RETENTION, WALL_NOW);
+    assert_eq!(registry.forgettable(), []);
+    assert!(registry.apply(&list(5, false, &[("a", "ready", 0)]), ListScope::Changes).is_empty());
+    registry.observe_clocks(NOW + REMOVED_RETENTION + Duration::from_secs(1), WALL_NOW);
+    assert_eq!(registry.forgettable(), [ServerId(0)]);
+    registry.forget(&[ServerId(0)]);
+    assert!(registry.entry(ServerId(0)).is_none() && registry.id_of("a").is_none());
+    assert_eq!((registry.known_count(), registry.snapshot().endpoints.len()), (1, 1));
+    let added = registry.apply(&list(7, false, &[("c", "ready", 0), ("d", "ready", 0)]), ListScope::Changes);
+    let ids: Vec<ServerId> = added.iter().map(|endpoint| endpoint.server).collect();
+    assert_eq!(ids, [ServerId(0), ServerId(2)], "the id that has become free, then a new one");
+    assert_eq!(registry.entry(ServerId(0)).map(RegistryEntry::name), Some("c"));
+}
+
+/// An endpoint that returns within the retention keeps its id, and its removal no longer counts.
+#[test]
+fn an_endpoint_that_returns_is_not_forgotten() {
+    let mut registry = EndpointRegistry::new(Vec::new(), NOW, WALL_NOW);
+    registry.apply(&list(5, true, &[("a", "ready", 0)]), ListScope::Complete);
+    registry.apply(&list(6, true, &[]), ListScope::Complete);
+    registry.apply(&list(7, true, &[("a", "ready", 0)]), ListScope::Complete);
+    registry.observe_clocks(NOW + 2 * REMOVED_RETENTION, WALL_NOW);
+    assert_eq!(registry.forgettable(), []);
+    assert_eq!(registry.id_of("a"), Some(ServerId(0)));
+}
+
+#[test]
+fn of_very_many_removed_endpoints_the_first_ones_are_forgotten_early() {
+    let mut registry = EndpointRegistry::new(Vec::new(), NOW, WALL_NOW);
+    let names: Vec<String> = (0..MAX_REMOVED_ENDPOINTS + 2).map(|number| format!("s{number}")).collect();
+    let listed: Vec<(&str, &str, u64)> = names.iter().map(|name| (name.as_str(), "ready", 0)).collect();
+    registry.apply(&list(1, true, &listed), ListScope::Complete);
+    registry.apply(&list(2, false, &[("s9", "gone", 0)]), ListScope::Changes);
+    registry.observe_clocks(NOW + Duration::from_secs(1), WALL_NOW);
+    registry.apply(&list(3, true, &[]), ListScope::Complete);
+    assert_eq!(registry.forgettable(), [ServerId(9), ServerId(0)]);
+}
--- a/src/frontend/amqp/mod.rs
+++ b/src/frontend/amqp/mod.rs
@@ -196,6 +196,14 @@
         self.server_events(ctx).on_servers_draining(stopped);
     }
 
+    fn uses_server(&self, server: ServerId) -> bool {
+        self.servers.is_used(server)
+    }
+
+    fn on_servers_forgotten(&mut self, servers: &[ServerId]) {
+        self.servers.forget(servers);
+    }
+
     fn is_idle(&self) -> bool {
         self.clients.is_empty()
     }
--- a/src/frontend/amqp/servers/mod.rs
+++ b/src/frontend/amqp/servers/mod.rs
@@ -99,6 +99,18 @@
         !is_serving && connection.is_idle()
     }
 
+    /// Whether there are connections to this server, or attempts that wait for one.
+    pub fn is_used(&self, server: ServerId) -> bool {
+        self.by_id.get(&server).is_some_and(Server::is_used)
+    }
+
+    /// Discards what is known of servers that no longer exist.
+    pub fn forget(&mut self, servers: &[ServerId]) {
+        for server in servers {
+            self.by_id.remove(server);
+        }
+    }
+
     /// Queues the attempt of a request until a link can send it.
     pub fn enqueue(&mut self, server_id: ServerId, class: usize, client: Token, request_id: RequestId) {
         let class_count = self.classes.len();
--- a/src/frontend/amqp/servers/server.rs
+++ b/src/frontend/amqp/servers/server.rs
@@ -52,6 +52,14 @@
 }
 
 impl Server {
+    /// Whether there are connections to the server, or attempts that wait for one.
+    pub fn is_used(&self) -> bool {
+        let has_waiting = |class: &ClassQueue| !class.waiting.is_empty();
+        !self.connections.is_empty()
+            || !self.waiting_forwarders.is_empty()
+            || self.classes.iter().any(has_waiting)
+    }
+
     /// Removes a connection and its links.
     pub fn remove_connection(&mut self, token: Token) {
         self.connections.retain(|connection| *connection != token);
--- a/src/frontend/api.rs
+++ b/src/frontend/api.rs
@@ -130,6 +130,12 @@
     /// yet.
     fn on_servers_draining(&mut self, ctx: &mut FrontendContext, servers: &[ServerId]);
 
+    /// Whether a connection of this frontend refers to this server, so that its id must not be reused.
+    fn uses_server(&self, server: ServerId) -> bool;
+
+    /// Called when servers that were removed long ago are forgotten: their ids may be reused for other servers.
+    fn on_servers_forgotten(&mut self, servers: &[ServerId]);
+
     /// Starts a health check: requests a server's load report in the text protocol. The result is pushed to the
     /// request table as [`Event::HealthCheckResult`]. The default implementation, for frontends without health
     /// checks, reports a failed check immediately.
--- a/src/frontend/text/health_check.rs
+++ b/src/frontend/text/health_check.rs
@@ -101,6 +101,11 @@
         Some(EndedConnection { server, was_in_flight: connection.in_flight_since.is_some() })
     }
 
+    /// Whether there is a health-check connection to this server.
+    pub(super) fn has_connection_to(&self, server: ServerId) -> bool {
+        self.by_server.contains_key(&server)
+    }
+
     /// Whether this is a health-check connection.
     pub(super) fn contains(&self, token: Token) -> bool {
         self.servers_by_connection.contains_key(&token)
--- a/src/frontend/text/latency.rs
+++ b/src/frontend/text/latency.rs
@@ -43,6 +43,11 @@
         measured.worst = measured.worst.max(Some(latency));
     }
 
+    /// Discards the latencies of servers that no longer exist.
+    pub(super) fn forget(&mut self, servers: &[ServerId]) {
+        self.by_server.retain(|server, _| !servers.contains(server));
+    }
+
     /// Reports latencies to the balancer, if the settings enable it and the next reports are due.
     pub(super) fn report(&mut self, ctx: &mut FrontendContext) {
         if !ctx.settings.reports_message_latency || !self.begin_report(ctx.now) {
--- a/src/frontend/text/mod.rs
+++ b/src/frontend/text/mod.rs
@@ -50,6 +50,7 @@
 use health_check::HealthChecks;
 use latency::LatencyTracker;
 use server_events::ServerEvents;
+use session::Session;
 use session_end::answer_and_close;
 use sessions::Sessions;
 use sparbank_time::DurationExt;
@@ -209,6 +210,15 @@
         }
     }
 
+    fn uses_server(&self, server: ServerId) -> bool {
+        let is_used = |(_, session): (Token, &Session)| session.server() == Some(server);
+        self.sessions.iter().any(is_used) || self.health_checks.has_connection_to(server)
+    }
+
+    fn on_servers_forgotten(&mut self, servers: &[ServerId]) {
+        self.latencies.forget(servers);
+    }
+
     fn check_health(&mut self, ctx: &mut FrontendContext, server: ServerId) {
         self.health_checks.start(ctx, server);
     }
--- a/src/node/endpoint_watch.rs
+++ b/src/node/endpoint_watch.rs
@@ -99,4 +99,18 @@
     host.state.requests.push_event(event);
     let not_ready = host.state.registry.not_ready();
     host.for_each(|frontend, ctx| frontend.on_servers_draining(ctx, &not_ready));
+    forget_removed_servers(host);
+}
+
+/// Forgets the servers that were removed long ago and that nothing refers to, so that the state of a long-running node
+/// does not grow with each server that has ever been listed.
+fn forget_removed_servers(host: &mut FrontendHost) {
+    let mut servers = host.state.registry.forgettable();
+    if servers.is_empty() {
+        return;
+    }
+    host.for_each(|frontend, _| servers.retain(|server| !frontend.uses_server(*server)));
+    let forgotten = host.state.requests.forget_servers(servers);
+    host.state.registry.forget(&forgotten);
+    host.for_each(|frontend, _| frontend.on_servers_forgotten(&forgotten));
 }
--- a/src/node/reports.rs
+++ b/src/node/reports.rs
@@ -66,6 +66,7 @@
     counters.failed_connects = shortages.failed_connects;
     counters.log_lines_dropped = log::dropped_lines();
     counters.discovery_polls = executor.endpoints.request_count();
+    counters.known_servers = state.registry.known_count() as u64;
     counters.stale_lists = state.registry.stale_lists();
     if let Some(calls) = admin.counts() {
         counters.admin_accepted = calls.succeeded;
--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -79,6 +79,11 @@
         Ok(())
     }
 
+    /// Resets those of these servers that are removed and unused, and returns them: their ids may be reused.
+    pub fn forget_servers(&mut self, ids: Vec<ServerId>) -> Vec<ServerId> {
+        self.servers.forget(ids)
+    }
+
     /// Handles an event that occurred at `now` and appends the resulting actions to `out`.
     pub fn handle(&mut self, now: MonotonicTime, event: Event, out: &mut Vec<Action>) {
         self.now = now;
--- a/src/policy/selection.rs
+++ b/src/policy/selection.rs
@@ -4,7 +4,8 @@
 use super::server::{Server, ServerSet};
 use crate::model::{ServerId, Settings};
 use crate::random::{mix64, unit_interval};
-use crate::resilience::{deduplicates, rendezvous_rank, FillTarget, LowestRanks, Ranked, SlowStart};
+use crate::resilience::{deduplicates, rendezvous_rank, retain_preferred};
+use crate::resilience::{FillTarget, LowestRanks, SlowStart};
 use sparbank_time::MonotonicTime;
 
 /// Number of servers compared for one attempt.
@@ -32,7 +33,7 @@
     /// Returns the server for the request's next attempt, or `None` if no server is available now.
     pub fn select(&self, request: &Request) -> Option<ServerId> {
         let candidates = self.draw_candidates(request).into_entries().into_iter();
-        let scored = candidates.map(|candidate| (self.load_score(request, &candidate), candidate.item));
+        let scored = candidates.map(|entry| (self.load_score(request, entry.rank, entry.item), entry.item));
         scored.reduce(|best, next| if next.0 < best.0 { next } else { best }).map(|(_, server)| server)
     }
 
@@ -52,11 +53,8 @@
         let mut admitted: Vec<ServerId> = eligible.into_iter().filter(is_admitted).collect();
         // Servers that are warming up and admit the request take precedence, whatever the load of the others.
         retain_preferred(&mut admitted, |id| self.capacity_factor(self.servers.get(*id)) < 1.0);
-        let mut candidates = LowestRanks::new(MAX_CANDIDATES);
-        for id in admitted {
-            candidates.insert(candidate_rank(request, self.servers.get(id)), id);
-        }
-        candidates
+        let rank = |id: &ServerId| candidate_rank(request, self.servers.get(*id));
+        LowestRanks::collect(MAX_CANDIDATES, admitted, rank)
     }
 
     /// The servers that may take the request. Unconfirmed ones with an attempt in flight are a last resort.
@@ -103,24 +101,17 @@
 
     /// The load of a candidate relative to its capacity, including the request. The rank stands for the
     /// request: with few connections it decides, so that all nodes together spread load by capacity.
-    fn load_score(&self, request: &Request, candidate: &Ranked<ServerId>) -> f64 {
-        let server = self.servers.get(candidate.item);
+    fn load_score(&self, request: &Request, rank: f64, id: ServerId) -> f64 {
+        let server = self.servers.get(id);
         let groups = server.in_flight.groups_with(request.group) as f64;
         let zone_cost = if server.attributes.zone == self.settings.zone { 0.0 } else { CROSS_ZONE_COST };
         // A reset shows that the server is over capacity; the connection counts as in flight for a while.
         let connections = server.in_flight.len() as f64 + server.health.recent_resets(self.now);
         let extra = self.usual_connections * (zone_cost + GROUP_COST * groups);
-        (connections + extra) / server.attributes.nominal + candidate.rank
+        (connections + extra) / server.attributes.nominal + rank
     }
 }
 
 fn candidate_rank(request: &Request, server: &Server) -> f64 {
     rendezvous_rank(request.candidate_seed, server.attributes.name_hash, server.attributes.nominal)
 }
-
-/// Retains only the preferred items, if there are any.
-fn retain_preferred<T>(items: &mut Vec<T>, is_preferred: impl Fn(&T) -> bool) {
-    if items.iter().any(&is_preferred) {
-        items.retain(is_preferred);
-    }
-}
--- a/src/policy/server.rs
+++ b/src/policy/server.rs
@@ -75,14 +75,12 @@
         self.servers.iter_mut().for_each(|server| server.health.confirm());
         for endpoint in endpoints {
             let index = endpoint.server.index();
-            if self.servers.len() <= index {
-                self.servers.resize_with(index + 1, Server::default);
-            }
+            self.servers.resize_with(self.servers.len().max(index + 1), Server::default);
             self.servers[index].update(endpoint, kind);
         }
-        let is_serving = |index: &usize| self.servers[*index].status == Status::Serving;
-        let serving = (0..self.servers.len()).filter(is_serving);
-        self.serving = serving.map(|index| ServerId(index as u32)).collect();
+        let servers = self.servers.iter().enumerate();
+        let serving = servers.filter(|(_, server)| server.status == Status::Serving);
+        self.serving = serving.map(|(index, _)| ServerId(index as u32)).collect();
         self.total_nominal = self.serving.iter().map(|server| self.get(*server).attributes.nominal).sum();
     }
 
@@ -103,6 +101,13 @@
         }
     }
 
+    pub fn forget(&mut self, ids: Vec<ServerId>) -> Vec<ServerId> {
+        let is_unused = |server: &Server| server.status == Status::Removed && server.in_flight.is_empty();
+        let unused: Vec<_> = ids.into_iter().filter(|id| self.find(*id).is_some_and(is_unused)).collect();
+        unused.iter().for_each(|id| self.servers[id.index()] = Server::default());
+        unused
+    }
+
     /// Returns the state that a handover transfers.
     pub fn snapshot(&self) -> &[Server] {
         &self.servers
--- a/src/requests/table.rs
+++ b/src/requests/table.rs
@@ -54,6 +54,12 @@
         self.decisions.balancer_mut().restore_state(snapshot)
     }
 
+    /// Discards the balancer's state of those of these servers that are removed and have neither attempts nor
+    /// connections, and returns them: their ids may be reused.
+    pub fn forget_servers(&mut self, servers: Vec<ServerId>) -> Vec<ServerId> {
+        self.decisions.balancer_mut().forget_servers(servers)
+    }
+
     /// Reports the arrival of a request. Returns the id assigned to it.
     pub fn on_request(
         &mut self,
--- a/src/resilience/mod.rs
+++ b/src/resilience/mod.rs
@@ -22,7 +22,7 @@
 pub use endpoint_subscription::{EndpointSubscription, ScheduledPoll};
 pub use fleet_limits::FleetLimits;
 pub use in_flight::InFlight;
-pub use rendezvous::{rendezvous_rank, LowestRanks, Ranked};
+pub use rendezvous::{rendezvous_rank, retain_preferred, LowestRanks, Ranked};
 pub use retry_admission::{Admission, RetryAdmission};
 pub use retry_safety::{deduplicates, AttemptHistory, PossibleRun};
 pub use server_health::{LatencyResponse, ServerHealth};
--- a/src/resilience/rendezvous.rs
+++ b/src/resilience/rendezvous.rs
@@ -29,6 +29,15 @@
         LowestRanks { entries: Vec::with_capacity(limit + 1), limit }
     }
 
+    /// Creates the list of the at most `limit` items with the lowest ranks.
+    pub fn collect(limit: usize, items: Vec<T>, rank: impl Fn(&T) -> f64) -> LowestRanks<T> {
+        let mut lowest = LowestRanks::new(limit);
+        for item in items {
+            lowest.insert(rank(&item), item);
+        }
+        lowest
+    }
+
     /// Adds an item if its rank is among the lowest.
     pub fn insert(&mut self, rank: f64, item: T) {
         let position = self.entries.partition_point(|entry| entry.rank <= rank);
@@ -44,5 +53,12 @@
     }
 }
 
+/// Retains only the preferred items, if there are any.
+pub fn retain_preferred<T>(items: &mut Vec<T>, is_preferred: impl Fn(&T) -> bool) {
+    if items.iter().any(&is_preferred) {
+        items.retain(is_preferred);
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/tests/policy_rules/endpoint_list.rs
+++ b/tests/policy_rules/endpoint_list.rs
@@ -2,7 +2,7 @@
 
 use crate::common::{endpoint, serving_endpoints, settings, LONG_AGO, MILLIS, SECOND};
 use crate::node::{attempted_server, requested_timer, Node};
-use sparbank::model::{Action, Discovery, Event, ListKind, Settings, Status};
+use sparbank::model::{Action, Discovery, Event, ListKind, Outcome, ServerId, Settings, Status};
 
 #[test]
 fn nothing_is_sent_to_a_draining_server_or_one_absent_from_a_full_list() {
@@ -67,3 +67,35 @@
     assert!(delays.len() > 40, "nodes must not poll at the same time");
     assert!(delays.iter().all(|after| *after <= 10 * SECOND), "each node must poll within `poll_within`");
 }
+
+/// Only a server that was removed and has neither attempts nor connections is forgotten. A new server with its id starts
+/// without its health: it is not ejected.
+#[test]
+fn only_a_removed_and_unused_server_is_forgotten() {
+    let mut node = Node::new(1, settings(), serving_endpoints(2));
+    let used = attempted_server(&node.request(0, 0)).expect("a server");
+    let unused = ServerId(1 - used.0);
+    node.establish(0, used);
+    assert_eq!(node.balancer.forget_servers(vec![used, unused]), [], "both are listed");
+    node.handle(Event::EndpointList(ListKind::Full, vec![]));
+    assert_eq!(node.balancer.forget_servers(vec![used, unused, ServerId(9)]), [unused]);
+    node.end_attempt(0, used, Outcome::Ok);
+    assert_eq!(node.balancer.forget_servers(vec![used]), [used]);
+}
+
+/// Guards against the health of a forgotten server being taken for that of the server that gets its id.
+#[test]
+fn a_server_with_a_reused_id_does_not_inherit_an_ejection() {
+    const FAILURES: u64 = 20;
+    let mut node = Node::new(1, settings(), serving_endpoints(1));
+    for id in 0..FAILURES {
+        if let Some(server) = attempted_server(&node.request(id, 0)) {
+            node.end_attempt(id, server, Outcome::ConnectFailed);
+        }
+    }
+    assert_eq!(attempted_server(&node.request(FAILURES, 0)), None, "the server is ejected");
+    node.handle(Event::EndpointList(ListKind::Full, vec![]));
+    assert_eq!(node.balancer.forget_servers(vec![ServerId(0)]), [ServerId(0)]);
+    node.handle(Event::EndpointList(ListKind::Full, serving_endpoints(1)));
+    assert_eq!(attempted_server(&node.request(FAILURES + 1, 0)), Some(ServerId(0)));
+}
