Omit passwords and keys from the debug form of AMQP credentials

Callers saw: nothing; one debug line would have written passwords for servers, or users' keys, to the log.

Cause: derived Debug on scram::Client, SaltedKeys, the servers of the AMQP configuration and the entries of the users' file.

Evidence: debug_output_contains_no_secret and debug_output_contains_no_password failed before.

Fix: Debug by hand without the secrets, or none.

--- a/crates/amqp/src/scram.rs
+++ b/crates/amqp/src/scram.rs
@@ -5,6 +5,7 @@
 use base64::Engine;
 use hmac::{Hmac, Mac};
 use sha2::{Digest, Sha256};
+use std::fmt;
 use subtle::ConstantTimeEq;
 
 type Key = [u8; 32];
@@ -59,7 +60,7 @@
 
 /// The keys that a server stores for a user (RFC 5802, section 3). The password can be recovered from them only by
 /// guessing.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct SaltedKeys {
     /// The salt of the password, which is sent to the client.
     pub salt: Vec<u8>,
@@ -71,6 +72,13 @@
     pub server_key: [u8; 32],
 }
 
+impl fmt::Debug for SaltedKeys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // The keys are omitted so that they cannot appear in logs.
+        f.debug_struct("SaltedKeys").field("iterations", &self.iterations).finish_non_exhaustive()
+    }
+}
+
 impl SaltedKeys {
     /// Derives the keys from a salted password.
     pub fn from_salted(salted_password: &[u8; 32], salt: Vec<u8>, iterations: u32) -> SaltedKeys {
@@ -188,7 +196,6 @@
 }
 
 /// The client's side of an exchange.
-#[derive(Debug)]
 pub struct Client {
     client_first_bare: String,
     password: String,
@@ -196,6 +203,13 @@
     server_signature: Option<Vec<u8>>,
 }
 
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // The password is omitted so that it cannot appear in logs.
+        f.debug_struct("Client").field("nonce", &self.nonce).finish_non_exhaustive()
+    }
+}
+
 /// The highest iteration count that a client accepts. It prevents a server from keeping a client busy.
 const MAX_ITERATIONS: u32 = 100_000;
 
--- a/crates/amqp/src/scram/tests.rs
+++ b/crates/amqp/src/scram/tests.rs
@@ -44,3 +44,18 @@
     assert!(parse_client_first(b"p=tls-unique,,n=u,r=x").is_none());
     assert!(parse_client_first(b"n,,n=u").is_none());
 }
+
+/// Secrets must not appear in logs: neither the password nor keys that allow to guess it or to pose as the server.
+#[test]
+fn debug_output_contains_no_secret() {
+    let client = Client::new("user", "pencil", "rOprNGfwEbeRWgbNEkqO");
+    assert!(!format!("{client:?}").contains("pencil"));
+    let salted = Pbkdf2::new(b"pencil", b"salt", 4096).step(4096).expect("all iterations are done");
+    let keys = SaltedKeys::from_salted(&salted, b"salt".to_vec(), 4096);
+    let secrets = [format!("{:?}", keys.stored_key), format!("{:?}", keys.server_key)];
+    let first = parse_client_first(&client.client_first()).expect("a valid message");
+    let server = Server::new(first, Some(keys.clone()), b"", "nonce");
+    for text in [format!("{keys:?}"), format!("{server:?}")] {
+        assert!(secrets.iter().all(|secret| !text.contains(secret)), "{text}");
+    }
+}
--- a/src/frontend/amqp/config.rs
+++ b/src/frontend/amqp/config.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use sparbank_amqp::{Credentials, Settings};
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -111,7 +112,7 @@
 }
 
 /// The address of a server and the credentials for it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FullServerEntry {
     /// The address; if absent, the one that discovery reports.
@@ -298,6 +299,15 @@
     }
 }
 
+impl fmt::Debug for FullServerEntry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // The password is omitted so that it cannot appear in logs.
+        let mut entry = f.debug_struct("FullServerEntry");
+        entry.field("address", &self.address).field("user", &self.user).field("sasl", &self.sasl);
+        entry.finish_non_exhaustive()
+    }
+}
+
 impl FullServerEntry {
     /// The credentials to authenticate with; `None` for no SASL layer.
     fn credentials(&self, nonce: &str) -> Option<Credentials> {
--- a/src/frontend/amqp/config/tests.rs
+++ b/src/frontend/amqp/config/tests.rs
@@ -100,3 +100,11 @@
     assert!(error(r#"{"max_frame": "x"}"#).starts_with("FILE: field max_frame: invalid type"));
     assert!(error(r#"{"users": "absent.json"}"#).contains("absent.json: No such file"));
 }
+
+/// The password for a server must not appear in logs.
+#[test]
+fn debug_output_contains_no_password() {
+    let text = r#"{"servers":{"s-1":{"user":"anna","password":"pencil"}}}"#;
+    let config = read(text).expect("valid");
+    assert!(!format!("{config:?}").contains("pencil"));
+}
--- a/src/frontend/amqp/users.rs
+++ b/src/frontend/amqp/users.rs
@@ -18,7 +18,7 @@
 /// The length of the salt for a new password, in octets.
 const SALT_BYTES: usize = 16;
 
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Default, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 struct UsersFile {
     users: BTreeMap<String, UserEntry>,
@@ -27,7 +27,7 @@
     anonymous: Option<Rights>,
 }
 
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 struct UserEntry {
     salt: String,
