Wait in the reply node tests until the node has noticed a lost connection

Its next request could be sent on the connection that the test had just ended; it was reset, and the only server is not tried again.

What is checked is the same.

--- a/tests/amqp_receiving.rs
+++ b/tests/amqp_receiving.rs
@@ -16,6 +16,8 @@
 /// Heartbeats of a client that does not read: sent for longer than the node's idle time-out in that test.
 const HEARTBEATS: u32 = 10;
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+/// A test fails if the node has not noticed the end of a server's connection within this time.
+const LOSS_LIMIT: Duration = Duration::from_secs(10);
 
 const AMQP_SETTINGS: &str = r#"{"listen":"127.0.0.1:0"}"#;
 const CLASS: &str = "live-readings";
@@ -451,6 +453,15 @@
         assert_eq!(self.client.receive_delivery_state(), State::Accepted);
         server
     }
+
+    /// Ends a server's connection, and waits until the node has noticed: a request sent on it before would be lost too.
+    fn lose(&mut self, server: AmqpPeer) {
+        drop(server);
+        let deadline = Instant::now() + LOSS_LIMIT;
+        while counter_value(&self.bench.frontend_counters("amqp"), "servers") > 0 {
+            assert!(Instant::now() < deadline, "the node still has a connection to its server");
+        }
+    }
 }
 
 /// A lost connection of a server frees its place at a reply node: however often a server reconnects, its replies arrive.
@@ -460,7 +471,8 @@
     const RECONNECTS: u32 = 17;
     let mut replies = ReplyBench::start();
     for _ in 0..RECONNECTS {
-        drop(replies.attached_server());
+        let server = replies.attached_server();
+        replies.lose(server);
     }
     let mut server = replies.attached_server();
     server.send(10, 0, &message_with_key(60_000, "k", b"reply"));
@@ -483,7 +495,7 @@
     };
     server.send_frame(sparbank_amqp::AMQP, first.into(), &message_with_key(60_000, "k", b"cut off"));
     assert_eq!(read_until!(replies.client, Transfer).0.more, Some(true));
-    drop(server);
+    replies.lose(server);
     let mut server = replies.attached_server();
     server.send(10, 0, &message_with_key(60_000, "k", b"reply"));
     loop {
@@ -508,7 +520,7 @@
         lost.send_performative(Detach { handle: Some(10), closed: Some(true), ..Default::default() });
         read_until!(lost, Detach);
     }
-    drop(lost);
+    replies.lose(lost);
     let mut server = replies.attached_server();
     server.send(10, 0, &message_with_key(60_000, "k", b"second"));
     let second = read_until!(replies.client, Transfer).0.delivery_id.expect("an id");
