End test processes with the process that started them; give each soak its own addresses

Cause: nothing ties a node to the test process that starts it, and stand-ins listened on ports of an address that all runs share.

Fix: children start through a launcher that sets PR_SET_PDEATHSIG and execs; the crates forbid unsafe code, which a call between fork and exec would need. The signal is tied to the thread that starts the child, so one thread that lives as long as the process starts them all.

--- a/crates/soak/src/discovery.rs
+++ b/crates/soak/src/discovery.rs
@@ -2,7 +2,7 @@
 
 use crate::server::Servers;
 use sparbank_test_support::invariants::{InvariantChecker, ServerNotice};
-use sparbank_test_support::loopback::{has_peer_closed, reset_on_drop};
+use sparbank_test_support::loopback::{has_peer_closed, reset_on_drop, AddressBlock};
 use sparbank_test_support::watch_protocol::{
     chunk, endpoint_json, list_json, read_watch_request, REJECTION_RESPONSE, WATCH_RESPONSE_HEAD,
 };
@@ -75,6 +75,7 @@
     pub async fn start(
         checker: &Rc<RefCell<InvariantChecker>>,
         servers: &Servers,
+        addresses: &AddressBlock,
         nodes: usize,
     ) -> Discovery {
         let state = State {
@@ -93,15 +94,17 @@
             addresses: Rc::default(),
         };
         for node in 0..nodes {
-            let node_addresses = [discovery.listen(node).await, discovery.listen(node).await];
+            let peer_address = addresses.peer_address();
+            let node_addresses =
+                [discovery.listen(peer_address, node).await, discovery.listen(peer_address, node).await];
             discovery.addresses.borrow_mut().push(node_addresses);
         }
         discovery
     }
 
     /// Serves one node on a new address.
-    async fn listen(&self, node: usize) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    async fn listen(&self, address: SocketAddr, node: usize) -> SocketAddr {
+        let listener = TcpListener::bind(address).await.expect("a free port");
         let address = listener.local_addr().expect("the address of a bound socket");
         let discovery = self.clone();
         spawn_local(async move {
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -10,6 +10,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use sparbank_test_support::invariants::InvariantChecker;
+use sparbank_test_support::loopback::{AddressBlock, AddressRange};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -54,9 +55,10 @@
             ticked.borrow_mut().tick(TICK_INTERVAL);
         }
     });
-    let servers = Servers::start(&checker, SERVERS).await;
-    let discovery = Discovery::start(&checker, &servers, options.nodes).await;
-    let nodes = Nodes::new(options, &checker, &discovery, schedule.seed);
+    let addresses = AddressBlock::allocate(AddressRange::Soak);
+    let servers = Servers::start(&checker, &addresses, SERVERS).await;
+    let discovery = Discovery::start(&checker, &servers, &addresses, options.nodes).await;
+    let nodes = Nodes::new(options, &checker, &discovery, &addresses, schedule.seed);
     for node in 0..options.nodes {
         nodes.start(node).await;
     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -51,6 +51,9 @@
     if arguments.options.program.as_os_str().is_empty() {
         return Err("missing option --program".into());
     }
+    if !arguments.options.folder.is_dir() {
+        return Err(format!("--folder: {} is not a folder", arguments.options.folder.display()).into());
+    }
     Ok(arguments)
 }
 
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -6,13 +6,13 @@
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use sparbank_test_support::invariants::{InvariantChecker, RetrySafety, Rule};
-use sparbank_test_support::loopback::{answers_ping, AddressBlock, AddressRange};
-use sparbank_test_support::{configure_node, ChildProcess, Signal};
+use sparbank_test_support::loopback::{answers_ping, AddressBlock};
+use sparbank_test_support::{child_command, configure_node, ChildProcess, Signal};
 use std::cell::{Cell, RefCell};
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Command, Stdio};
+use std::process::Stdio;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, Instant};
@@ -69,9 +69,9 @@
         options: &Options,
         checker: &Rc<RefCell<InvariantChecker>>,
         discovery: &Discovery,
+        addresses: &AddressBlock,
         seed: u64,
     ) -> Nodes {
-        let addresses = AddressBlock::allocate(AddressRange::Soak);
         let node = |number| Node {
             address: addresses.node_address(number, NODE_PORT),
             child: RefCell::new(None),
@@ -136,11 +136,11 @@
         let log = File::create(self.file(number, &format!("{}.log", node.starts.get())))
             .expect("a writable log file");
         // Ignores SIGHUP, as `deploy/balancer.toml` does: the signal must not end the program before its handlers are installed.
-        let mut command = Command::new("sh");
+        let mut command = child_command("sh");
         command.args(["-c", "trap '' HUP; exec \"$0\" serve --trace"]).arg(&self.options.program);
         configure_node(&mut command, &self.file(number, "config.json"));
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        *node.child.borrow_mut() = Some(ChildProcess::spawn(&mut command));
+        *node.child.borrow_mut() = Some(ChildProcess::spawn(command));
         let started_at = Instant::now();
         node.started_at.set(started_at);
         while !answers_ping(node.address).await {
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -1,7 +1,7 @@
 //! Simulated servers. They answer request lines according to their mode, and echo the lines of established sessions.
 
 use sparbank_test_support::invariants::InvariantChecker;
-use sparbank_test_support::loopback::reset_on_drop;
+use sparbank_test_support::loopback::{reset_on_drop, AddressBlock};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -86,11 +86,15 @@
     ///
     /// # Panics
     /// If the system has no free port.
-    pub async fn start(checker: &Rc<RefCell<InvariantChecker>>, count: usize) -> Servers {
+    pub async fn start(
+        checker: &Rc<RefCell<InvariantChecker>>,
+        addresses: &AddressBlock,
+        count: usize,
+    ) -> Servers {
         let mut servers = Vec::new();
         let mut listeners = Vec::new();
         for _ in 0..count {
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let listener = TcpListener::bind(addresses.peer_address()).await.expect("a free port");
             servers.push(Server {
                 address: listener.local_addr().expect("the address of a bound socket"),
                 mode: Cell::new(Mode::Serves),
--- a/crates/test-support/src/cluster/mod.rs
+++ b/crates/test-support/src/cluster/mod.rs
@@ -72,6 +72,8 @@
     pub client_links: Vec<Link>,
     /// Links from nodes to discovery, by node.
     pub discovery_links: Vec<Link>,
+    /// The addresses of the nodes, which no other run gets while the cluster exists.
+    _addresses: AddressBlock,
 }
 
 impl Cluster {
@@ -98,8 +100,17 @@
         }
         let node_addresses = client_links.iter().map(|link| link.address).collect();
         start_clients(&shared, node_addresses, rng.random());
-        let mut cluster =
-            Cluster { shared, nodes, discovery, servers, rng, seed, client_links, discovery_links };
+        let mut cluster = Cluster {
+            shared,
+            nodes,
+            discovery,
+            servers,
+            rng,
+            seed,
+            client_links,
+            discovery_links,
+            _addresses: addresses,
+        };
         cluster.wait_until_in_service().await;
         cluster
     }
--- a/crates/test-support/src/cluster/nodes.rs
+++ b/crates/test-support/src/cluster/nodes.rs
@@ -1,6 +1,7 @@
 //! The node processes under test: starting, signalling and stopping them, each by its own process id only.
 
 use super::{ConnectionQuota, Shared};
+use crate::child_command::child_command;
 use crate::loopback::AddressBlock;
 use crate::process::{configure_node, ChildProcess};
 use rustix::process::Signal;
@@ -71,7 +72,7 @@
             self.shared.config.node_settings(),
         );
         std::fs::write(&node.config_file, config).expect("failed to write the configuration");
-        let mut command = Command::new(&self.program);
+        let mut command = child_command(&self.program);
         command.arg("serve").stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
         configure_node(&mut command, &node.config_file);
         if let Some(quota) = self.shared.config.quota {
@@ -82,7 +83,7 @@
         if let Ok(folder) = std::env::var("FLEET_LOGS") {
             write_log(&mut command, Path::new(&folder), number, node.start_count);
         }
-        node.child = Some(ChildProcess::spawn(&mut command));
+        node.child = Some(ChildProcess::spawn(command));
         self.shared.auditor.borrow_mut().on_node_up(number);
     }
 
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -16,6 +16,7 @@
 mod amqp_messages;
 mod amqp_peer;
 mod bench;
+mod child_command;
 pub mod cluster;
 mod handover_node;
 mod handover_peer;
@@ -31,6 +32,7 @@
 pub use amqp_messages::{message_to, message_with_key};
 pub use amqp_peer::{AmqpPeer, NextFrame, ReceivedMessage};
 pub use bench::{establish, established_client, TestNode};
+pub use child_command::child_command;
 pub use handover_node::{HandoverFolder, HandoverNode};
 pub use handover_peer::{listen_for_handover, HandoverPeer};
 pub use listeners::{accept_any, listener, refusing_port, try_accept, FullBacklogServer};
--- a/crates/test-support/src/loopback.rs
+++ b/crates/test-support/src/loopback.rs
@@ -3,7 +3,7 @@
 use rustix::io::Errno;
 use rustix::net::sockopt::set_socket_linger;
 use rustix::net::{recv, RecvFlags};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -15,6 +15,8 @@
 const BLOCK_COUNT: u32 = 16_000;
 /// Number of addresses in a block.
 const ADDRESSES_PER_BLOCK: u32 = 256;
+/// The port that is bound at the first address of a block in use.
+const GUARD_PORT: u16 = 7999;
 /// A health check that takes longer than this has failed.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -36,11 +38,12 @@
     }
 }
 
-/// A block of addresses for one run, derived from the process id and the number of the run in that process, so that
-/// concurrent runs don't collide.
+/// A block of addresses for one run, which no concurrent run on this machine has: its first address is bound while the
+/// block is in use.
 #[derive(Debug)]
 pub struct AddressBlock {
     first: u32,
+    _guard: TcpListener,
 }
 
 impl AddressBlock {
@@ -48,14 +51,28 @@
     pub fn allocate(range: AddressRange) -> AddressBlock {
         static RUN_COUNT: AtomicU32 = AtomicU32::new(0);
         let run = RUN_COUNT.fetch_add(1, Ordering::Relaxed);
-        let block = std::process::id().wrapping_mul(37).wrapping_add(run.wrapping_mul(11)) % BLOCK_COUNT;
-        AddressBlock { first: range.first() + block * ADDRESSES_PER_BLOCK }
+        let preferred = std::process::id().wrapping_mul(37).wrapping_add(run.wrapping_mul(11));
+        let mut blocks = (0..BLOCK_COUNT).map(|offset| preferred.wrapping_add(offset) % BLOCK_COUNT);
+        let in_use = "every block of addresses is in use";
+        blocks
+            .find_map(|block| AddressBlock::bind(range.first() + block * ADDRESSES_PER_BLOCK))
+            .expect(in_use)
+    }
+
+    fn bind(first: u32) -> Option<AddressBlock> {
+        let guard = TcpListener::bind((Ipv4Addr::from(first), GUARD_PORT)).ok()?;
+        Some(AddressBlock { first, _guard: guard })
     }
 
     /// The address of a node. Each node has its own IP address in the block.
     pub fn node_address(&self, node: usize, port: u16) -> SocketAddr {
         SocketAddr::from((Ipv4Addr::from(self.first + 1 + node as u32), port))
     }
+
+    /// The address on which stand-ins of the nodes' peers listen, each on a free port.
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::from((Ipv4Addr::from(self.first + ADDRESSES_PER_BLOCK - 1), 0))
+    }
 }
 
 /// Makes a connection end with a reset, rather than an orderly close, when it is dropped.
--- a/crates/test-support/src/process.rs
+++ b/crates/test-support/src/process.rs
@@ -1,5 +1,6 @@
 //! Processes of the program under test: starting, signalling and stopping them, and reading their logs.
 
+use crate::child_command::{child_command, spawn};
 use crate::log::is_log_of;
 use rustix::io::Errno;
 use rustix::process::{kill_process, prlimit, Pid, Resource, Rlimit, Signal};
@@ -24,20 +25,20 @@
 
 /// A command that runs the program under test with these arguments and this configuration file, its output captured.
 pub fn node_command(program: &str, args: &[&str], config: &Path) -> Command {
-    let mut command = Command::new(program);
+    let mut command = child_command(program);
     command.args(args).stdout(Stdio::piped()).stderr(Stdio::piped());
     configure_node(&mut command, config);
     command
 }
 
-/// A running process, killed on drop.
+/// A running process, killed on drop and when this process ends.
 #[derive(Debug)]
 pub struct ChildProcess(Child);
 
 impl ChildProcess {
-    /// Spawns the process of a command.
-    pub fn spawn(command: &mut Command) -> ChildProcess {
-        ChildProcess(command.spawn().expect("failed to start the program under test"))
+    /// Spawns the process of a [`child_command`].
+    pub fn spawn(command: Command) -> ChildProcess {
+        ChildProcess(spawn(command).expect("failed to start the program under test"))
     }
 
     /// The operating system's id of the process.
@@ -101,7 +102,9 @@
     pub fn spawn(&self, config: &Path) -> NodeProcess {
         let args: Vec<&str> = self.args.iter().map(String::as_str).collect();
         let env = self.env.iter().map(|(name, value)| (name, value));
-        let mut process = ChildProcess::spawn(node_command(&self.program, &args, config).envs(env));
+        let mut command = node_command(&self.program, &args, config);
+        command.envs(env);
+        let mut process = ChildProcess::spawn(command);
         let log = BufReader::new(process.0.stderr.take().expect("stderr is piped"));
         NodeProcess { process, log }
     }
