End a half-closed session only once its peers are inactive

Callers saw: a client that has closed its write side was cut off 2 s later, or 4, where its server was still sending and the client was reading as fast.

Fix: the timeout counts from the last activity of either peer, for 30 s at most.

--- a/src/frontend/text/client_input.rs
+++ b/src/frontend/text/client_input.rs
@@ -7,12 +7,12 @@
 use crate::frontend::{FrontendContext, TimerEvent, TEXT_FRONTEND};
 use crate::model::Outcome;
 use crate::net::{Token, OUTPUT_HIGH_WATERMARK_BYTES};
+use sparbank_time::MonotonicTime;
 use std::time::Duration;
 
-/// After the client has half-closed its connection, the server must close its own side within this time, unless one of
-/// the two is slow to read what is forwarded to it.
+/// A session whose client has closed its write side ends after this time in which neither peer sends or reads anything.
 const HALF_CLOSED_TIMEOUT: Duration = Duration::from_secs(2);
-/// How long a half-closed session may last while one of its peers is slow to read.
+/// How long a half-closed session may last while its peers are active.
 const HALF_CLOSED_DELIVERY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Handles an event on the connection of a client with a session.
@@ -68,25 +68,24 @@
     if ctx.net.is_read_closed(client) && all_forwarded && established.half_closed_at.is_none() {
         established.half_closed_at = Some(ctx.now);
         ctx.net.shutdown_write(server_connection);
-        schedule_half_closed_timeout(ctx, client);
+        ctx.wheel.schedule(ctx.now + HALF_CLOSED_TIMEOUT, TimerEvent::FrontendTimer(TEXT_FRONTEND, client));
     }
 }
 
-fn schedule_half_closed_timeout(ctx: &mut FrontendContext, client: Token) {
-    ctx.wheel.schedule(ctx.now + HALF_CLOSED_TIMEOUT, TimerEvent::FrontendTimer(TEXT_FRONTEND, client));
-}
-
-/// Ends a half-closed session whose server has not closed its own side in time. Waits on while output for either peer is
-/// pending: the server may not have received the client's end yet, or the client may still read the server's last lines.
+/// Ends a half-closed session once its peers are inactive. Waits on while output for either of them is pending, or while
+/// they are active: the server may not have received the client's end yet, or may still send its last lines.
 pub(super) fn on_half_closed_timeout(sessions: &mut Sessions, ctx: &mut FrontendContext, client: Token) {
     let established = sessions.get(client).and_then(|session| session.established());
     let Some(established) = established else { return };
     let Some(half_closed_at) = established.half_closed_at else { return };
-    let is_delivering = [client, established.server_connection]
-        .into_iter()
-        .any(|token| ctx.net.pending_output_bytes(token) > 0);
-    if is_delivering && ctx.now < half_closed_at + HALF_CLOSED_DELIVERY_TIMEOUT {
-        schedule_half_closed_timeout(ctx, client);
+    let connections = [client, established.server_connection];
+    let is_delivering = connections.iter().any(|token| ctx.net.pending_output_bytes(*token) > 0);
+    let active_at = connections.map(|token| ctx.net.last_peer_activity(token));
+    let inactive_since = active_at.into_iter().fold(half_closed_at, MonotonicTime::max);
+    let inactive_from = if is_delivering { ctx.now } else { inactive_since };
+    let ends_at = (inactive_from + HALF_CLOSED_TIMEOUT).min(half_closed_at + HALF_CLOSED_DELIVERY_TIMEOUT);
+    if ctx.now < ends_at {
+        ctx.wheel.schedule(ends_at, TimerEvent::FrontendTimer(TEXT_FRONTEND, client));
     } else {
         end_session(sessions, ctx, client, Outcome::Cancelled, ConnectionEnd::Orderly);
     }
--- a/tests/forwarding_races.rs
+++ b/tests/forwarding_races.rs
@@ -24,6 +24,9 @@
 const SERVER_STALL: Duration = Duration::from_millis(1_000);
 /// How long a client does not read although its server answers its lines: longer than a server may take to answer.
 const LONG_STALL: Duration = Duration::from_millis(5_500);
+/// Lines that a server sends after its client has half-closed the session, and the time between them.
+const LATE_LINES: usize = 8;
+const LATE_LINE_INTERVAL: Duration = Duration::from_millis(400);
 /// Time in which a line that a peer sends on loopback arrives.
 const ARRIVAL_TIME: Duration = Duration::from_millis(200);
 
@@ -122,6 +125,22 @@
     sending.join().expect("all lines are sent");
 }
 
+/// The client closes its write side while its server still sends, for longer than a silent server is waited for: the
+/// client gets every line and the close.
+#[test]
+fn a_half_closed_client_gets_the_lines_that_its_server_still_sends() {
+    let bench = TestNode::start(PROGRAM, 1);
+    let (mut client, mut attempt) = established_client(&bench, 1);
+    client.stream.shutdown(Shutdown::Write).expect("the connection is open");
+    for _ in 0..LATE_LINES {
+        std::thread::sleep(LATE_LINE_INTERVAL);
+        attempt.send("M 1\r\n");
+    }
+    attempt.send("BYE\r\n");
+    drop(attempt);
+    assert_eq!(client.read_to_end(), "M 1\r\n".repeat(LATE_LINES) + "BYE\r\n");
+}
+
 /// The client sends its last lines and closes. The server reads them late, and answers a line before: it still gets
 /// every line and the close.
 #[test]
