--- a/crates/test-support/src/child_command.rs
+++ b/crates/test-support/src/child_command.rs
@@ -13,7 +13,7 @@
 }
 
 /// A command that runs a program; arguments are appended as usual. The kernel kills its process when the thread that has
-/// spawned it ends, see [`spawn`].
+/// spawned it ends, see `spawn`.
 pub fn child_command(program: impl AsRef<OsStr>) -> Command {
     let mut command = Command::new(env!("TEST_LAUNCHER"));
     command.arg(std::process::id().to_string()).arg(program);
