Refuse a range of soak seeds that selects none

Cause: the end of the range is exclusive; '--seeds 7006..7006' ran nothing, printed '0 runs, 0 failed' and ended with success, which reads like a pass. Change: one line and exit code 2; SOAK_SEEDS of the test likewise fails. Measured: a_range_without_a_seed_is_a_one_line_error failed before (the program ran on and ended with 0) and passes.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -66,7 +66,11 @@
     const FORMAT: &str = "--seeds takes a range FROM..TO of unsigned integers";
     let (from, to) = text.split_once("..").ok_or(FORMAT)?;
     let parse_seed = |number: &str| number.parse::<u64>().map_err(|_| lexopt::Error::from(FORMAT));
-    Ok(parse_seed(from)?..parse_seed(to)?)
+    let seeds = parse_seed(from)?..parse_seed(to)?;
+    if seeds.is_empty() {
+        return Err(format!("--seeds: {text} selects no seed, the end of a range is exclusive").into());
+    }
+    Ok(seeds)
 }
 
 fn parse_family(text: &str) -> Result<Family, lexopt::Error> {
--- a/crates/soak/tests/program.rs
+++ b/crates/soak/tests/program.rs
@@ -44,16 +44,21 @@
     }
 }
 
+/// Starts the program under test with a stand-in for its nodes.
+fn start_soak(folder: &Path, node: &Path, arguments: &[&str]) -> ChildProcess {
+    let mut command = child_command(PROGRAM);
+    command.arg("--program").arg(node).arg("--folder").arg(folder).args(arguments);
+    command.stdin(Stdio::null()).stdout(Stdio::null());
+    ChildProcess::spawn(command)
+}
+
 /// A test run that is killed takes its nodes with it: left behind, they would go on to poll the address of their discovery,
 /// which may be that of a later run.
 #[test]
 fn a_killed_soak_leaves_no_node_behind() {
     let folder = folder("killed");
-    let mut command = child_command(PROGRAM);
-    command.arg("--program").arg(node_stand_in(&folder)).arg("--folder").arg(&folder);
-    command.args(["--seeds", "1..4", "--cells", "3", "--nodes", "1"]);
-    command.stdin(Stdio::null()).stdout(Stdio::null());
-    let mut soak = ChildProcess::spawn(command);
+    let mut soak =
+        start_soak(&folder, &node_stand_in(&folder), &["--seeds", "1..4", "--cells", "3", "--nodes", "1"]);
     wait_until("the nodes have not started", || started_nodes(&folder).len() == NODES);
     soak.signal(Signal::KILL).expect("the soak runs");
     soak.wait();
@@ -63,13 +68,28 @@
     let _ = std::fs::remove_dir_all(&folder);
 }
 
-#[test]
-fn a_folder_that_does_not_exist_is_a_one_line_error() {
+/// Runs the program with arguments that it must refuse with one line; returns this line.
+fn argument_error(arguments: &[&str]) -> String {
     let output = Command::new(PROGRAM)
-        .args(["--program", "node", "--seeds", "1..2", "--folder", "/nonexistent/folder"])
+        .args(["--program", "node"])
+        .args(arguments)
         .output()
         .expect("the program starts");
-    assert_eq!(output.status.code(), Some(2));
     let error = String::from_utf8_lossy(&output.stderr).into_owned();
-    assert!(error.lines().count() == 1 && error.contains("/nonexistent/folder"), "{error:?}");
+    assert_eq!(output.status.code(), Some(2), "{error:?}");
+    assert_eq!(error.lines().count(), 1, "{error:?}");
+    error
+}
+
+#[test]
+fn a_folder_that_does_not_exist_is_a_one_line_error() {
+    let error = argument_error(&["--seeds", "1..2", "--folder", "/nonexistent/folder"]);
+    assert!(error.contains("/nonexistent/folder"), "{error:?}");
+}
+
+/// A range without a seed would be reported as a run without a failure.
+#[test]
+fn a_range_without_a_seed_is_a_one_line_error() {
+    let error = argument_error(&["--seeds", "7006..7006"]);
+    assert!(error.contains("7006..7006"), "{error:?}");
 }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -34,6 +34,7 @@
         let runs: Vec<_> = seeds.map(start).collect();
         runs.into_iter().map(|run| run.join().expect("the run did not panic")).collect()
     });
+    assert!(!reports.is_empty(), "SOAK_SEEDS selects no seed");
     for report in &reports {
         assert!(report.violations.is_empty(), "{}: {:#?}", report.schedule, report.violations);
         assert!(report.served > 0, "seed {}: no request was served", report.seed);
