Give the nodes of each soak process files of their own

Cause: the names of a node's files held the seed and the node only, so the second program replaced the configuration of the first one before its node had read it; two nodes then took one address. The separate addresses of each soak did not help, as they stand in these files. Change: the names hold the process id as well. Measured: programs_that_run_the_same_seed_share_no_file failed before (1 configuration for 2 programs) and passes.

--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -114,9 +114,10 @@
         (!accepting.is_empty()).then(|| accepting[rng.random_range(0..accepting.len())])
     }
 
-    /// Path of a file of a node, unique among seeds.
+    /// Path of a file of a node, unique among the seeds of this process and among processes that share the folder.
     fn file(&self, node: usize, name: &str) -> PathBuf {
-        self.options.folder.join(format!("seed{}-n{node}-{name}", self.seed))
+        let process = std::process::id();
+        self.options.folder.join(format!("seed{}-p{process}-n{node}-{name}", self.seed))
     }
 
     /// Starts a process of a node. Clients connect to it once it has answered a health check.
--- a/crates/soak/tests/program.rs
+++ b/crates/soak/tests/program.rs
@@ -68,6 +68,20 @@
     let _ = std::fs::remove_dir_all(&folder);
 }
 
+/// Two programs that run the same seed keep apart the configurations of their nodes, and with these their addresses.
+#[test]
+fn programs_that_run_the_same_seed_share_no_file() {
+    let folder = folder("same-seed");
+    let node = node_stand_in(&folder);
+    let _soaks = [(), ()].map(|()| start_soak(&folder, &node, &["--seeds", "1..2", "--nodes", "1"]));
+    wait_until("the nodes have not started", || started_nodes(&folder).len() == 2);
+    let names =
+        std::fs::read_dir(&folder).expect("readable").map(|entry| entry.expect("readable").file_name());
+    let configurations = names.filter(|name| name.to_string_lossy().ends_with("config.json")).count();
+    assert_eq!(configurations, 2);
+    let _ = std::fs::remove_dir_all(&folder);
+}
+
 /// Runs the program with arguments that it must refuse with one line; returns this line.
 fn argument_error(arguments: &[&str]) -> String {
     let output = Command::new(PROGRAM)
