--- a/src/frontend/text/tests.rs
+++ b/src/frontend/text/tests.rs
@@ -188,6 +188,16 @@
         panic!("no connection")
     }
 
+    /// An attempt whose server has answered, with the answer in the kernel buffer: its client, its id and its server's end.
+    fn attempt_with_unread_answer(&mut self) -> (TcpStream, RequestId, TcpStream) {
+        let (client, request_id) = self.attempt_about_to_be_sent();
+        self.flush_connected();
+        let (mut attempt, _) = self.received_by_a_server();
+        attempt.write_all(b"UP r1\r\n").expect("written");
+        std::thread::sleep(KERNEL_DELIVERY_TIME);
+        (client, request_id, attempt)
+    }
+
     /// Times out an attempt in the way the event loop does.
     fn time_out(&mut self, request_id: RequestId) {
         self.with_frontend(|frontend, ctx| frontend.read_answer(ctx, request_id));
@@ -236,11 +246,7 @@
 #[test]
 fn an_answer_in_the_kernel_buffer_is_read_before_the_attempt_times_out() {
     let mut fixture = FrontendFixture::new();
-    let (mut client, request_id) = fixture.attempt_about_to_be_sent();
-    fixture.flush_connected();
-    let (mut attempt, _) = fixture.received_by_a_server();
-    attempt.write_all(b"UP r1\r\n").expect("written");
-    std::thread::sleep(KERNEL_DELIVERY_TIME);
+    let (mut client, request_id, _attempt) = fixture.attempt_with_unread_answer();
     fixture.time_out(request_id);
     client.set_read_timeout(Some(Duration::from_secs(1))).expect("a time-out");
     let mut answer = [0; 7];
@@ -252,11 +258,7 @@
 #[test]
 fn an_answer_in_the_kernel_buffer_is_read_before_the_client_is_migrated() {
     let mut fixture = FrontendFixture::new();
-    let (mut client, request_id) = fixture.attempt_about_to_be_sent();
-    fixture.flush_connected();
-    let (mut attempt, _) = fixture.received_by_a_server();
-    attempt.write_all(b"UP r1\r\n").expect("written");
-    std::thread::sleep(KERNEL_DELIVERY_TIME);
+    let (mut client, request_id, mut attempt) = fixture.attempt_with_unread_answer();
     fixture.with_frontend(|frontend, ctx| frontend.read_answer(ctx, request_id));
     client.write_all(b"M 1\r\n").expect("written");
     std::thread::sleep(KERNEL_DELIVERY_TIME);
