Name the soak's bursts of connections and intervals by the terms of the field

Cause: 'crowd' and 'gap' are withdrawn words; 'held' named open sockets in two tests. Change: Fault::ConnectionBurst, connection_burst.rs, signal_interval, FAULT_INTERVALS_MS, is_open. Schedules are the same: order of draws and values are unchanged.

--- a/crates/soak/src/connection_burst.rs
+++ b/crates/soak/src/connection_burst.rs
@@ -1,4 +1,4 @@
-//! A crowd: idle clients that use up the descriptors of a node.
+//! A burst of connections: idle clients that use up the descriptors of a node.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,7 +11,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Opens idle connections to a node, and closes them after some time.
-pub async fn crowd(address: SocketAddr, duration: Duration) {
+pub async fn burst_of_connections(address: SocketAddr, duration: Duration) {
     let mut connections = Vec::new();
     for _ in 0..CONNECTIONS {
         if let Ok(Ok(connection)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -1,7 +1,7 @@
 //! The environment of one run: the simulated peers, the nodes, and the injection of the faults of a schedule.
 
 use crate::client::{Client, ClientBehaviour, Habit};
-use crate::crowd::crowd;
+use crate::connection_burst::burst_of_connections;
 use crate::discovery::{self, Discovery};
 use crate::node::Nodes;
 use crate::request::LIMITS;
@@ -108,14 +108,14 @@
 
     async fn inject(self: Rc<TestEnvironment>, scheduled: ScheduledFault, duration: Duration) {
         let ScheduledFault { fault, target, .. } = scheduled;
-        let signal_gap = scheduled.signal_gap();
+        let signal_interval = scheduled.signal_interval();
         let node = target as usize % self.nodes.len();
         match fault {
             Fault::Terminate => {
                 self.nodes.shut_down_and_restart(node, SignalSeries::Terminate, Duration::ZERO).await;
             }
-            Fault::ShutDown(series) => self.nodes.shut_down_and_restart(node, series, signal_gap).await,
-            Fault::Crowd => crowd(self.nodes.address(node), duration).await,
+            Fault::ShutDown(series) => self.nodes.shut_down_and_restart(node, series, signal_interval).await,
+            Fault::ConnectionBurst => burst_of_connections(self.nodes.address(node), duration).await,
             Fault::Kill => self.nodes.kill_and_restart(node).await,
             Fault::ShortStall => self.nodes.pause_for(node, SHORT_STALL, true).await,
             Fault::LongStall => self.nodes.pause_for(node, LONG_STALL, false).await,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,13 +2,13 @@
 //!
 //! One run ([`run`]) starts several nodes of the program under test, and simulates discovery, servers and clients in one
 //! thread. Its [`Schedule`] of faults is derived from its [`Family`] and its seed: each round has an ordered pair of faults,
-//! separated by a gap close to one of the node's time constants, and a third fault at a random time; or the shutdowns of
+//! separated by an interval close to one of the node's time constants, and a third fault at a random time; or the shutdowns of
 //! two nodes by series of signals, beside another fault. The
 //! [`InvariantChecker`](sparbank_test_support::invariants::InvariantChecker) records what clients, servers and discovery
 //! observe, and reports each rule that is broken. [`minimize`] reduces a failing schedule.
 
 pub mod client;
-pub mod crowd;
+pub mod connection_burst;
 pub mod discovery;
 pub mod environment;
 pub mod node;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -63,7 +63,7 @@
     /// A node is shut down by a series of signals, and is started again after its exit.
     ShutDown(SignalSeries),
     /// Idle clients use up the descriptors of a node for some time.
-    Crowd,
+    ConnectionBurst,
 }
 
 /// The signals of a shutdown, close together.
@@ -138,15 +138,15 @@
 const FIRST_ROUND_MS: u64 = 1_500;
 /// Time from the start of one round to the start of the next.
 const ROUND_INTERVAL_MS: u64 = 3_500;
-/// Gaps between the two faults of a pair: none, one iteration of the event loop, and times just below and above time
+/// Intervals between the two faults of a pair: none, one iteration of the event loop, and times just below and above time
 /// constants (a tick, a stall, the dial timeout, the end of arrivals after SIGTERM, a deadline).
-const GAPS_MS: [u64; 12] = [0, 1, 5, 30, 140, 160, 195, 245, 260, 410, 950, 1_050];
-/// One run of [`Family::Shutdowns`] in this many has a crowd.
-const CROWD_PERIOD: u64 = 3;
-/// A crowd begins up to this long before the shutdown of its node.
-const CROWD_LEAD_MS: u64 = 1_000;
+const FAULT_INTERVALS_MS: [u64; 12] = [0, 1, 5, 30, 140, 160, 195, 245, 260, 410, 950, 1_050];
+/// One run of [`Family::Shutdowns`] in this many has a burst of connections.
+const CONNECTION_BURST_PERIOD: u64 = 3;
+/// A burst of connections begins up to this long before the shutdown of its node.
+const CONNECTION_BURST_LEAD_MS: u64 = 1_000;
 /// Times between the two signals of a series.
-const SIGNAL_GAPS_MS: [u64; 10] = [0, 1, 2, 5, 10, 20, 50, 100, 200, 300];
+const SIGNAL_INTERVALS_MS: [u64; 10] = [0, 1, 2, 5, 10, 20, 50, 100, 200, 300];
 /// The third fault of a round starts at a random time below this.
 const THIRD_FAULT_MS: u64 = 1_200;
 
@@ -163,10 +163,10 @@
 
 impl ScheduledFault {
     /// The time between the two signals of a series.
-    pub fn signal_gap(&self) -> Duration {
+    pub fn signal_interval(&self) -> Duration {
         // The low digits select the node.
-        let index = (self.target / 1_000) as usize % SIGNAL_GAPS_MS.len();
-        Duration::from_millis(SIGNAL_GAPS_MS[index])
+        let index = (self.target / 1_000) as usize % SIGNAL_INTERVALS_MS.len();
+        Duration::from_millis(SIGNAL_INTERVALS_MS[index])
     }
 }
 
@@ -197,14 +197,14 @@
         for round in 0..ROUNDS {
             let start = FIRST_ROUND_MS + round * ROUND_INTERVAL_MS;
             let (first, second) = pair(seed.wrapping_mul(ROUNDS).wrapping_add(round) % PAIRS);
-            let gap = GAPS_MS[rng.random_range(0..GAPS_MS.len())];
+            let interval_ms = FAULT_INTERVALS_MS[rng.random_range(0..FAULT_INTERVALS_MS.len())];
             let third = FAULTS[rng.random_range(0..FAULTS.len())];
             let third_at = rng.random_range(0..THIRD_FAULT_MS);
             // In about half of the pairs both faults have the same target.
             let target: u64 = rng.random();
             let second_target = if rng.random_bool(0.5) { target } else { rng.random() };
             faults.push(ScheduledFault { at_ms: start, fault: first, target });
-            faults.push(ScheduledFault { at_ms: start + gap, fault: second, target: second_target });
+            faults.push(ScheduledFault { at_ms: start + interval_ms, fault: second, target: second_target });
             faults.push(ScheduledFault { at_ms: start + third_at, fault: third, target: rng.random() });
         }
         faults.sort_by_key(|scheduled| scheduled.at_ms);
@@ -212,7 +212,7 @@
     }
 
     /// Creates a schedule of [`Family::Shutdowns`]: each round shuts down two nodes, the first one by the next signal
-    /// series, beside another fault. One run in three has a crowd at a node that is shut down.
+    /// series, beside another fault. One run in three has a burst of connections at a node that is shut down.
     fn of_shutdowns(seed: u64) -> Schedule {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let others: Vec<Fault> =
@@ -231,8 +231,12 @@
             );
             let second_series = SERIES[rng.random_range(0..SERIES.len())];
             add(start + rng.random_range(0..THIRD_FAULT_MS), Fault::ShutDown(second_series), rng.random());
-            if seed.is_multiple_of(CROWD_PERIOD) && round == 1 {
-                add(start.saturating_sub(rng.random_range(0..CROWD_LEAD_MS)), Fault::Crowd, target);
+            if seed.is_multiple_of(CONNECTION_BURST_PERIOD) && round == 1 {
+                add(
+                    start.saturating_sub(rng.random_range(0..CONNECTION_BURST_LEAD_MS)),
+                    Fault::ConnectionBurst,
+                    target,
+                );
             }
         }
         faults.sort_by_key(|scheduled| scheduled.at_ms);
--- a/crates/soak/src/schedule/tests.rs
+++ b/crates/soak/src/schedule/tests.rs
@@ -19,8 +19,9 @@
         let schedule = Schedule::new(Family::Shutdowns, seed);
         let is_shutdown = |scheduled: &&ScheduledFault| matches!(scheduled.fault, Fault::ShutDown(_));
         assert_eq!(schedule.faults.iter().filter(is_shutdown).count() as u64, 2 * ROUNDS);
-        let has_crowd = schedule.faults.iter().any(|scheduled| scheduled.fault == Fault::Crowd);
-        assert_eq!(has_crowd, seed.is_multiple_of(CROWD_PERIOD), "seed {seed}");
+        let has_connection_burst =
+            schedule.faults.iter().any(|scheduled| scheduled.fault == Fault::ConnectionBurst);
+        assert_eq!(has_connection_burst, seed.is_multiple_of(CONNECTION_BURST_PERIOD), "seed {seed}");
         assert_eq!(schedule, Schedule::new(Family::Shutdowns, seed));
     }
 }
--- a/crates/soak/src/shutdown.rs
+++ b/crates/soak/src/shutdown.rs
@@ -16,18 +16,18 @@
 impl Nodes {
     /// Ends a node with a series of signals and starts it again. Clients still connect for some time after SIGTERM. A node
     /// that has not exited by the earliest time of the kill is reported and killed.
-    pub async fn shut_down_and_restart(&self, number: usize, series: SignalSeries, gap: Duration) {
+    pub async fn shut_down_and_restart(&self, number: usize, series: SignalSeries, interval: Duration) {
         let node = &self.nodes[number];
         if node.is_restarting.replace(true) {
             return;
         }
         if series == SignalSeries::ReloadTerminate {
             self.reload_node(number);
-            sleep(gap).await;
+            sleep(interval).await;
         }
         self.signal(number, Signal::TERM);
         let sent_at = Instant::now();
-        self.send_second_signal(number, series, gap).await;
+        self.send_second_signal(number, series, interval).await;
         sleep(ARRIVALS_AFTER_SIGTERM.saturating_sub(sent_at.elapsed())).await;
         node.is_accepting.set(false);
         self.wait_for_exit(number, sent_at).await;
@@ -36,19 +36,19 @@
     }
 
     /// Sends the signal that follows SIGTERM in a series.
-    async fn send_second_signal(&self, number: usize, series: SignalSeries, gap: Duration) {
+    async fn send_second_signal(&self, number: usize, series: SignalSeries, interval: Duration) {
         match series {
             SignalSeries::Terminate | SignalSeries::ReloadTerminate => {}
             SignalSeries::TerminateTwice => {
-                sleep(gap).await;
+                sleep(interval).await;
                 self.signal(number, Signal::TERM);
             }
             SignalSeries::TerminateReload => {
-                sleep(gap).await;
+                sleep(interval).await;
                 self.reload_node(number);
             }
             SignalSeries::TerminateKill => {
-                sleep(gap).await;
+                sleep(interval).await;
                 self.nodes[number].is_accepting.set(false);
                 self.kill(number);
             }
--- a/src/net/reactor/tests.rs
+++ b/src/net/reactor/tests.rs
@@ -184,7 +184,7 @@
 }
 
 /// Whether the reactor still holds the connection of a closed token.
-fn is_held(reactor: &SocketReactor, token: Token) -> bool {
+fn is_open(reactor: &SocketReactor, token: Token) -> bool {
     reactor.peer_addr(token).is_some()
 }
 
@@ -196,14 +196,14 @@
     let (_reading, reading) = accepted_client(&mut reactor, addr);
     reactor.close(answered);
     reactor.close_after_delivery(reading);
-    let mut held_after_ms = |ms| {
+    let mut open_after_ms = |ms| {
         reactor.poll(MonotonicTime::ZERO + Duration::from_millis(ms), Duration::ZERO).expect("poll");
-        [answered, reading].map(|token| is_held(&reactor, token))
+        [answered, reading].map(|token| is_open(&reactor, token))
     };
-    assert_eq!(held_after_ms(900), [true, true]);
-    assert_eq!(held_after_ms(5_000), [false, true]);
-    assert_eq!(held_after_ms(29_000), [false, true]);
-    assert_eq!(held_after_ms(35_000), [false, false]);
+    assert_eq!(open_after_ms(900), [true, true]);
+    assert_eq!(open_after_ms(5_000), [false, true]);
+    assert_eq!(open_after_ms(29_000), [false, true]);
+    assert_eq!(open_after_ms(35_000), [false, false]);
 }
 
 /// A shortage of descriptors evicts idle clients, which lose nothing, before peers that still read their last lines.
@@ -216,13 +216,13 @@
     reactor.close_after_delivery(reading);
     reactor.close(answered);
     let candidates = [answered, idle, reading];
-    let mut held_after_eviction = || {
+    let mut open_after_eviction = || {
         assert!(reactor.candidates.evict(&mut reactor.sockets));
-        candidates.map(|token| is_held(&reactor, token))
+        candidates.map(|token| is_open(&reactor, token))
     };
-    assert_eq!(held_after_eviction(), [false, true, true]);
-    assert_eq!(held_after_eviction(), [false, false, true]);
-    assert_eq!(held_after_eviction(), [false, false, false]);
+    assert_eq!(open_after_eviction(), [false, true, true]);
+    assert_eq!(open_after_eviction(), [false, false, true]);
+    assert_eq!(open_after_eviction(), [false, false, false]);
     assert!(!reactor.candidates.evict(&mut reactor.sockets));
 }
 
