Ask the kernel whether a node has closed an attempt before its retry is judged

No caller was harmed. Hypotheses: the node opens the next attempt before it has closed the last one; or the soak's thread reads the end of the last attempt after the line of the next one. Evidence: both nodes logged 'attempt ended outcome=Timeout' before the next 'attempt started', and 'closed connection released end=Complete after_ms=717' (563 to 852) for such attempts: the stand-in needed that long to read the end. All servers of all nodes ran into their time-outs at that moment, when the clients read the burst of 200,000 lines. Change: before an attempt is judged, the stand-in asks the kernel for the closes of the request's earlier attempts, as the discovery stand-in does for watches. Rule and bounds are the same, and an attempt that its node has not closed is reported as before. Sister: the cluster tests' servers report ends in the same way; no failure seen there.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod discovery;
 pub mod environment;
 pub mod node;
+mod open_attempts;
 pub mod request;
 pub mod schedule;
 pub mod server;
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -1,5 +1,6 @@
 //! Simulated servers. They answer request lines according to their mode, and echo the lines of established sessions.
 
+use crate::open_attempts::{AttemptNumber, OpenAttempts};
 use sparbank_test_support::invariants::InvariantChecker;
 use sparbank_test_support::loopback::{reset_on_drop, AddressBlock};
 use std::cell::{Cell, RefCell};
@@ -79,6 +80,7 @@
     servers: Rc<Vec<Server>>,
     /// Sessions that their servers have ended, by request id.
     ended_sessions: Rc<RefCell<HashMap<String, EndedSession>>>,
+    open_attempts: Rc<RefCell<OpenAttempts>>,
 }
 
 impl Servers {
@@ -103,8 +105,12 @@
             });
             listeners.push(listener);
         }
-        let servers =
-            Servers { checker: checker.clone(), servers: Rc::new(servers), ended_sessions: Rc::default() };
+        let servers = Servers {
+            checker: checker.clone(),
+            servers: Rc::new(servers),
+            ended_sessions: Rc::default(),
+            open_attempts: Rc::default(),
+        };
         for (number, listener) in listeners.into_iter().enumerate() {
             servers.accept(number, listener);
         }
@@ -179,9 +185,26 @@
             return;
         }
         let id = line.split(' ').nth(1).unwrap_or("").to_string();
-        self.checker.borrow_mut().on_attempt(&id, number, &line);
+        let attempt = self.begin_attempt(number, &id, &line, read.get_ref());
         self.answer(number, &id, read, write).await;
-        self.checker.borrow_mut().on_attempt_ended(&id, number);
+        self.end_attempt(number, &id, attempt);
+    }
+
+    /// Reports an attempt to the checker, after the ends of the request's attempts that its node has closed.
+    fn begin_attempt(&self, number: usize, id: &str, line: &str, read: &OwnedReadHalf) -> AttemptNumber {
+        let mut checker = self.checker.borrow_mut();
+        let mut open_attempts = self.open_attempts.borrow_mut();
+        for closed in open_attempts.remove_closed(id) {
+            checker.on_attempt_ended(id, closed);
+        }
+        checker.on_attempt(id, number, line);
+        open_attempts.insert(id, number, read.as_ref()).expect("a descriptor")
+    }
+
+    fn end_attempt(&self, number: usize, id: &str, attempt: AttemptNumber) {
+        if self.open_attempts.borrow_mut().remove(id, attempt) {
+            self.checker.borrow_mut().on_attempt_ended(id, number);
+        }
     }
 
     async fn answer(
