Tell an interrupted read from the end of a connection in the test peers

Cause: `AmqpPeer::read_frame` took any error for the end. The reads are interrupted because of two things together: - A socket with a read time-out (SO_RCVTIMEO, which `Peer::new` sets) returns EINTR instead of restarting the read, also after a signal without a handler. - The kernel drops an ignored SIGCHLD only if the thread that spawned the child doesn't block it.

Change: `read_uninterrupted` reads again after EINTR; `receive` tells bytes, an end and a reset apart and panics at a time-out or any other error. `AmqpPeer` has `NextFrame::Reset`. The same mistake is mended in `Peer::read_to_end`, `Peer::drain_until_closed` (both took a time-out and EINTR for the end), tests/amqp_access.rs, tests/amqp_tls.rs and tests/mixed/servers.rs (which took EINTR for the end).

--- a/crates/test-support/src/amqp_peer.rs
+++ b/crates/test-support/src/amqp_peer.rs
@@ -2,10 +2,10 @@
 
 mod links;
 
-use crate::peer::Peer;
+use crate::peer::{Peer, Received};
 use sparbank_amqp as amqp;
 use sparbank_amqp::{Performative, Value};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::SocketAddr;
 
 const WRITE_FAILED: &str = "failed to write to the connection";
@@ -35,8 +35,10 @@
     Heartbeat,
     /// A performative and the payload that follows it.
     Body(Box<Performative>, Vec<u8>),
-    /// The connection has ended.
+    /// The node has closed the connection.
     Ended,
+    /// The node has reset the connection.
+    Reset,
 }
 
 /// Reads frames up to the next one with this performative, and evaluates to its body and payload. Panics if the
@@ -218,7 +220,7 @@
         self.peer.stream.write_all(&out).expect(WRITE_FAILED);
     }
 
-    /// Reads the next frame.
+    /// Reads the next frame. Panics at the time-out.
     pub fn read_frame(&mut self) -> NextFrame {
         loop {
             let mut remaining = &self.bytes[..];
@@ -229,24 +231,25 @@
                 return body.map_or(NextFrame::Heartbeat, |body| NextFrame::Body(Box::new(body), payload));
             }
             let mut chunk = [0; 4096];
-            let count = self.peer.reader.read(&mut chunk).unwrap_or(0);
-            if count == 0 {
-                return NextFrame::Ended;
+            match self.peer.receive(&mut chunk) {
+                Received::Bytes(count) => self.bytes.extend(&chunk[..count]),
+                Received::Ended => return NextFrame::Ended,
+                Received::Reset => return NextFrame::Reset,
             }
-            self.bytes.extend(&chunk[..count]);
         }
     }
 
     /// Reads the next frame that is not a heartbeat.
     ///
     /// # Panics
-    /// The connection ended.
+    /// The connection ended or was reset.
     pub fn read_performative(&mut self) -> (Performative, Vec<u8>) {
         loop {
             match self.read_frame() {
                 NextFrame::Body(body, payload) => return (*body, payload),
                 NextFrame::Heartbeat => {}
                 NextFrame::Ended => panic!("the connection ended"),
+                NextFrame::Reset => panic!("the connection was reset"),
             }
         }
     }
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -38,7 +38,7 @@
 pub use listeners::{accept_any, listener, refusing_port, try_accept, FullBacklogServer};
 pub use log::{counter_value, counter_values, is_log_of, log_field};
 pub use node_config::{config, endpoint_entry, preload_library, request_line, temp_file};
-pub use peer::Peer;
+pub use peer::{read_uninterrupted, receive, Peer, Received};
 pub use process::{configure_node, node_command, ChildProcess, NodeProcess, StartOptions};
 pub use rustix::process::Signal;
 #[doc(hidden)]
--- a/crates/test-support/src/peer.rs
+++ b/crates/test-support/src/peer.rs
@@ -1,7 +1,7 @@
 //! The test's end of a connection to a node, in the role of a client, a server or discovery.
 
 use crate::listeners::accept_any;
-use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -9,6 +9,44 @@
 pub(crate) const IO_TIMEOUT: Duration = Duration::from_secs(20);
 const READ_CHUNK_BYTES: usize = 4096;
 
+/// What a read from a connection has returned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Received {
+    /// This many bytes, at least one.
+    Bytes(usize),
+    /// The other side has closed its write direction.
+    Ended,
+    /// The other side has reset the connection.
+    Reset,
+}
+
+/// Reads once, and again if a signal has interrupted the read. Linux doesn't restart the reads of a socket with a
+/// time-out, even if the signal has no handler.
+///
+/// # Errors
+/// The read failed, or nothing arrived before the time-out of the stream.
+pub fn read_uninterrupted(stream: &mut impl Read, chunk: &mut [u8]) -> io::Result<usize> {
+    loop {
+        match stream.read(chunk) {
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            result => return result,
+        }
+    }
+}
+
+/// Reads once.
+///
+/// # Panics
+/// Nothing arrived before the time-out of the stream, or the read failed for another reason than a reset.
+pub fn receive(stream: &mut impl Read, chunk: &mut [u8]) -> Received {
+    match read_uninterrupted(stream, chunk) {
+        Ok(0) => Received::Ended,
+        Ok(count) => Received::Bytes(count),
+        Err(error) if error.kind() == ErrorKind::ConnectionReset => Received::Reset,
+        Err(error) => panic!("failed to read from the connection: {error}"),
+    }
+}
+
 /// The test's end of a connection, with line-based reads.
 #[derive(Debug)]
 pub struct Peer {
@@ -47,10 +85,7 @@
     pub fn read_to_end(&mut self) -> String {
         let mut received = Vec::new();
         let mut chunk = [0; READ_CHUNK_BYTES];
-        while let Ok(count) = self.reader.read(&mut chunk) {
-            if count == 0 {
-                break;
-            }
+        while let Received::Bytes(count) = self.receive(&mut chunk) {
             received.extend_from_slice(&chunk[..count]);
         }
         String::from_utf8_lossy(&received).into_owned()
@@ -71,6 +106,11 @@
         }
     }
 
+    /// Reads what has arrived, or waits until something arrives. Panics at the time-out.
+    pub fn receive(&mut self, chunk: &mut [u8]) -> Received {
+        receive(&mut self.reader, chunk)
+    }
+
     /// Reads exactly as many bytes as the slice holds.
     pub fn read_exact(&mut self, bytes: &mut [u8]) {
         self.reader.read_exact(bytes).expect("failed to read from the connection");
@@ -80,7 +120,7 @@
     pub fn drain_until_closed(&mut self, within: Duration) {
         let deadline = Instant::now() + within;
         let mut chunk = [0; READ_CHUNK_BYTES];
-        while matches!(self.reader.read(&mut chunk), Ok(count) if count > 0) {
+        while let Received::Bytes(_) = self.receive(&mut chunk) {
             assert!(Instant::now() < deadline, "the connection still delivers data after {within:?}");
         }
         assert!(Instant::now() < deadline, "the connection was not closed within {within:?}");
@@ -91,3 +131,6 @@
         assert_eq!(self.read_line(), "", "expected the connection to end without further data");
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/amqp_access.rs
+++ b/tests/amqp_access.rs
@@ -3,11 +3,11 @@
 use rstest::rstest;
 use sparbank_amqp::{condition, Connection, Credentials, Event, SaslRequest, Settings, State, Transfer};
 use sparbank_test_support::{
-    config, counter_value, listener, message_with_key, node_command, read_until, temp_file, AmqpPeer,
-    NextFrame, Peer, TestNode,
+    config, counter_value, listener, message_with_key, node_command, read_until, receive, temp_file,
+    AmqpPeer, NextFrame, Peer, Received, TestNode,
 };
 use sparbank_time::MonotonicTime;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::Stdio;
 use std::time::{Duration, Instant};
@@ -54,11 +54,11 @@
     loop {
         stream.write_all(&conn.take_output(MonotonicTime::ZERO)).expect("written");
         let mut chunk = [0; 4096];
-        let count = stream.read(&mut chunk).unwrap_or(0);
-        if count == 0 {
-            return false;
+        match receive(&mut stream, &mut chunk) {
+            Received::Bytes(count) => input.extend(&chunk[..count]),
+            Received::Ended => return false,
+            Received::Reset => panic!("the node reset the connection"),
         }
-        input.extend(&chunk[..count]);
         let mut unread = &input[..];
         loop {
             match conn.next_event(MonotonicTime::ZERO, &mut unread) {
--- a/tests/amqp_tls.rs
+++ b/tests/amqp_tls.rs
@@ -5,9 +5,11 @@
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
 use rustls::{ClientConfig, ClientConnection, RootCertStore, StreamOwned};
 use sparbank_amqp::{Connection, Credentials, Event, Settings};
-use sparbank_test_support::{listener, log_field, node_command, temp_file, AmqpPeer, Peer, Signal, TestNode};
+use sparbank_test_support::{
+    listener, log_field, node_command, read_uninterrupted, temp_file, AmqpPeer, Peer, Signal, TestNode,
+};
 use sparbank_time::MonotonicTime;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -121,7 +123,7 @@
     loop {
         stream.write_all(&amqp.take_output(MonotonicTime::ZERO)).map_err(|e| e.to_string())?;
         let mut chunk = [0; 4096];
-        let count = stream.read(&mut chunk).map_err(|e| e.to_string())?;
+        let count = read_uninterrupted(stream, &mut chunk).map_err(|e| e.to_string())?;
         if count == 0 {
             return Err("the node closed the connection".into());
         }
@@ -184,7 +186,7 @@
     assert!(connect(&authority, addr, "node.test", None, Credentials::Anonymous).is_err());
     // The old connection still gets heartbeats, or a close if it has been idle for too long.
     let mut received = [0; 64];
-    assert!(old.read(&mut received).expect("the connection is not broken") > 0);
+    assert!(read_uninterrupted(&mut old, &mut received).expect("the connection is not broken") > 0);
 }
 
 #[rstest]
--- a/tests/mixed/servers.rs
+++ b/tests/mixed/servers.rs
@@ -2,8 +2,9 @@
 
 use crate::attempts::{AttemptId, AttemptLog};
 use sparbank_amqp::{Attach, Connection, Event, LinkId, Settings, State};
+use sparbank_test_support::read_uninterrupted;
 use sparbank_time::MonotonicTime;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{ErrorKind, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -131,20 +132,21 @@
     }
 }
 
-/// Error: the connection has ended.
+/// Error: the connection has ended or was reset.
 pub struct Ended;
 
 /// Appends the input that is available within the read timeout.
 pub fn read_available(stream: &mut TcpStream, input: &mut Vec<u8>) -> Result<(), Ended> {
     let mut chunk = [0; READ_CHUNK_BYTES];
-    match stream.read(&mut chunk) {
+    match read_uninterrupted(stream, &mut chunk) {
         Ok(0) => Err(Ended),
         Ok(count) => {
             input.extend(&chunk[..count]);
             Ok(())
         }
         Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => Ok(()),
-        Err(_) => Err(Ended),
+        Err(error) if error.kind() == ErrorKind::ConnectionReset => Err(Ended),
+        Err(error) => panic!("failed to read from the connection: {error}"),
     }
 }
 
