Log and count how the restoration of each earlier session goes

Cause: a session that a client had before this process started is not in the request table until its server has accepted it, so that its attempts and its end were on no counter and in no log line; its trace lines had request=0.

Change: `frontend/text/restoration.rs` holds the progress of such a session (`Session` has either a restoration or a request id) and the typed reasons for giving it up. New: the warning `session not restored` with id, server, reason, outcome, error, whether the line was sent, attempts and time since the line; the trace lines `restoring session`, `session restored` and `connection closed without a request`; the counters `restore_attempts` and `restore_failed`. A socket keeps the error with which it failed.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -10,6 +10,10 @@
     pub requests: u64,
     /// Connections from before the start of this process that were resumed at a server.
     pub resumed: u64,
+    /// Attempts to resume a connection from before the start of this process at its server.
+    pub restore_attempts: u64,
+    /// Connections from before the start of this process that were not resumed.
+    pub restore_failed: u64,
     /// Attempts sent to a server.
     pub sent: u64,
     /// Attempts accepted by a server.
@@ -113,10 +117,12 @@
     }
 
     /// Returns the name and value of every counter, in the order of the log line.
-    fn entries(&self) -> [(&'static str, u64); 43] {
+    fn entries(&self) -> [(&'static str, u64); 45] {
         [
             ("requests", self.requests),
             ("resumed", self.resumed),
+            ("restore_attempts", self.restore_attempts),
+            ("restore_failed", self.restore_failed),
             ("sent", self.sent),
             ("established", self.established),
             ("served", self.served),
--- a/src/frontend/text/attempt.rs
+++ b/src/frontend/text/attempt.rs
@@ -143,6 +143,6 @@
 }
 
 /// Whether a server accepts new requests according to the endpoint list.
-fn is_ready(ctx: &FrontendContext, server: ServerId) -> bool {
+pub(super) fn is_ready(ctx: &FrontendContext, server: ServerId) -> bool {
     ctx.registry.entry(server).is_some_and(|endpoint| endpoint.is_ready())
 }
--- a/src/frontend/text/client_input.rs
+++ b/src/frontend/text/client_input.rs
@@ -2,6 +2,7 @@
 //! the client's connection.
 
 use super::connection_event::ConnectionEvent;
+use super::restoration::{self, RestorationFailure};
 use super::session_end::{answer_and_close, end_session, reject_malformed, ConnectionEnd};
 use super::sessions::Sessions;
 use crate::frontend::{FrontendContext, TimerEvent, TEXT_FRONTEND};
@@ -30,9 +31,12 @@
     if !has_input && event == ConnectionEvent::Ready && !ctx.net.is_read_closed(client) {
         return;
     }
-    if let Some(request_id) = session.request_id() {
-        ctx.requests.on_client_disconnected(ctx.now, request_id);
-    }
+    let Some(request_id) = session.request_id() else {
+        let failure =
+            if has_input { RestorationFailure::MoreInput } else { RestorationFailure::ClientDisconnected };
+        return restoration::fail(sessions, ctx, client, failure);
+    };
+    ctx.requests.on_client_disconnected(ctx.now, request_id);
     if has_input {
         // A client must not send anything before UP, because such lines could not be assigned to a request or
         // session.
--- a/src/frontend/text/mod.rs
+++ b/src/frontend/text/mod.rs
@@ -16,6 +16,7 @@
 //! | `client_input` | input from clients with a session |
 //! | `attempt` | starting, sending and cancelling attempts |
 //! | `request_opening` | input from clients without a request; opening a request |
+//! | `restoration` | restoring the sessions from before this process started |
 //! | `server_events` | answers and lines from servers |
 //! | `unresponsive_servers` | migrating the clients of servers that have stopped answering |
 //! | `latency`, `health_check` | measured latencies; requested load reports |
@@ -34,6 +35,7 @@
 mod protocol_error;
 mod request_line;
 mod request_opening;
+mod restoration;
 mod server_events;
 mod session;
 mod session_end;
@@ -49,6 +51,8 @@
 use handover::ImportedClient;
 use health_check::HealthChecks;
 use latency::LatencyTracker;
+use request_opening::IdleClose;
+use restoration::RestorationFailure;
 use server_events::ServerEvents;
 use session::Session;
 use session_end::answer_and_close;
@@ -113,7 +117,9 @@
                 request_opening::on_input(&mut self.awaiting, &mut self.sessions, ctx, token);
             }
             // A client that resets its connection does not wait for an answer, whatever it sent before.
-            ConnectionEvent::Failed { .. } => request_opening::close(&mut self.awaiting, ctx, token),
+            ConnectionEvent::Failed { .. } => {
+                request_opening::close_disconnected(&mut self.awaiting, ctx, token);
+            }
         }
     }
 
@@ -134,6 +140,7 @@
                 self.awaiting.insert(token, 0);
             }
             SocketEventKind::Evicted => {
+                request_opening::trace_close(ctx, token, IdleClose::Evicted);
                 ctx.requests.counters_mut().idle_closed += 1;
                 self.awaiting.remove(token);
             }
@@ -258,8 +265,8 @@
             return self.health_checks.close(ctx, token);
         }
         let Some(session) = self.sessions.get(token) else { return };
-        if session.request_id().is_none() {
-            answer_and_close(&mut self.sessions, ctx, token, b"ERR\r\n");
+        if session.restoration().is_some() {
+            restoration::fail(&mut self.sessions, ctx, token, RestorationFailure::DeadlinePassed);
         } else {
             on_half_closed_timeout(&mut self.sessions, ctx, token);
         }
--- a/src/frontend/text/request_opening.rs
+++ b/src/frontend/text/request_opening.rs
@@ -1,18 +1,17 @@
 //! Input from clients that have not sent a request yet, and opening a session with their request line.
 
-use super::attempt;
 use super::awaiting_clients::AwaitingClients;
 use super::client_input::on_client_event;
 use super::connection_event::ConnectionEvent;
 use super::line_buffer::{take_line, LineRead};
 use super::request_line::{OpenRequest, RequestLine};
+use super::restoration;
 use super::session::{arrival, Session};
-use super::session_end::{answer_and_close, reject_malformed, trace_answer};
+use super::session_end::trace_answer;
 use super::sessions::Sessions;
-use crate::frontend::{FrontendContext, TimerEvent, ANSWER_MARGIN, TEXT_FRONTEND};
+use crate::frontend::{FrontendContext, TEXT_FRONTEND};
 use crate::net::Token;
 use crate::rules::{may_start, StartInputs, StartRefusal};
-use std::time::Duration;
 
 /// Handles the lines of a client that has not sent a request yet.
 pub(super) fn on_input(
@@ -25,7 +24,7 @@
         let line = match take_line(input) {
             LineRead::Incomplete => {
                 if ctx.net.is_read_closed(token) {
-                    close(awaiting, ctx, token);
+                    close_disconnected(awaiting, ctx, token);
                 }
                 return;
             }
@@ -63,18 +62,52 @@
     ctx.net.read_available(token);
     on_input(awaiting, sessions, ctx, token);
     if awaiting.remove(token).is_some() {
+        trace_close(ctx, token, IdleClose::NoRequest);
         ctx.requests.counters_mut().idle_closed += 1;
         ctx.net.send(token, b"BUSY\r\n");
         ctx.net.close(token);
     }
 }
 
-/// Closes a connection on which no request has been received, without an answer.
-pub(super) fn close(awaiting: &mut AwaitingClients, ctx: &mut FrontendContext, token: Token) {
+/// Closes a connection on which no request has been received and whose client has gone, without an answer.
+pub(super) fn close_disconnected(awaiting: &mut AwaitingClients, ctx: &mut FrontendContext, token: Token) {
+    trace_close(ctx, token, IdleClose::ClientDisconnected);
+    close(awaiting, ctx, token);
+}
+
+fn close(awaiting: &mut AwaitingClients, ctx: &mut FrontendContext, token: Token) {
     awaiting.remove(token);
     ctx.net.close(token);
 }
 
+/// Why a connection is closed before it has brought a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum IdleClose {
+    /// The client has closed or reset the connection.
+    #[error("client-gone")]
+    ClientDisconnected,
+    /// No request line was received in time, or the process is shutting down.
+    #[error("no-request")]
+    NoRequest,
+    /// The descriptor was needed for another connection.
+    #[error("evicted")]
+    Evicted,
+}
+
+/// Logs, at trace level, that a connection is closed before it has brought a request.
+pub(super) fn trace_close(ctx: &mut FrontendContext, token: Token, reason: IdleClose) {
+    if !tracing::enabled!(tracing::Level::TRACE) {
+        return;
+    }
+    tracing::trace!(
+        connection = %token,
+        %reason,
+        is_failed = ctx.net.is_failed(token),
+        unparsed_bytes = ctx.net.input_buffer(token).map_or(0, |input| input.len()),
+        "connection closed without a request"
+    );
+}
+
 fn reject_malformed_line(awaiting: &mut AwaitingClients, ctx: &mut FrontendContext, token: Token) {
     ctx.requests.counters_mut().malformed += 1;
     answer_without_session(awaiting, ctx, token, b"ERR\r\n");
@@ -105,8 +138,8 @@
     awaiting.remove(token);
     match open.restored_server.clone() {
         Some(server_name) => {
-            sessions.open(token, open);
-            restore_session(sessions, ctx, token, &server_name);
+            sessions.insert(token, Session::restoring(open, ctx.now));
+            restoration::start(sessions, ctx, token, &server_name);
         }
         None => submit_request(sessions, ctx, token, open),
     }
@@ -157,16 +190,3 @@
     sessions.insert(token, session);
     on_client_event(sessions, ctx, token, ConnectionEvent::Ready);
 }
-
-/// Reconnects a client that had a session before this process started to its previous server. No server is selected.
-fn restore_session(sessions: &mut Sessions, ctx: &mut FrontendContext, token: Token, server_name: &str) {
-    let Some(server) = ctx.registry.id_of(server_name) else {
-        return reject_malformed(sessions, ctx, token);
-    };
-    let timeout = sessions.get(token).map_or(Duration::ZERO, |session| session.open().time_left);
-    let answer_deadline = ctx.now + timeout.saturating_sub(ANSWER_MARGIN);
-    ctx.wheel.schedule(answer_deadline, TimerEvent::FrontendTimer(TEXT_FRONTEND, token));
-    if attempt::connect(sessions, ctx, token, server, timeout).is_err() {
-        answer_and_close(sessions, ctx, token, b"ERR\r\n");
-    }
-}
--- a/src/frontend/text/server_events.rs
+++ b/src/frontend/text/server_events.rs
@@ -6,6 +6,7 @@
 use super::line_buffer::{take_line, LineRead};
 use super::protocol_error::{log_malformed_trailing_report, server_name, ServerProtocolError};
 use super::request_line::parse_load;
+use super::restoration::trace_restored;
 use super::session::{arrival, SessionEnding};
 use super::session_end::{on_attempt_end, ConnectionEnd};
 use super::sessions::Sessions;
@@ -162,6 +163,7 @@
             Some(request_id) => ctx.requests.on_established(ctx.now, request_id),
             None => {
                 let Some(server) = session.server() else { return };
+                trace_restored(ctx, session);
                 let arrival = arrival(session.open());
                 let request_id = ctx.requests.restore_established(ctx.now, TEXT_FRONTEND, arrival, server);
                 self.sessions.set_request_id(client, request_id);
--- a/src/frontend/text/session.rs
+++ b/src/frontend/text/session.rs
@@ -1,6 +1,7 @@
 //! A client's session: its request and the state of its attempt or established connection.
 
 use super::request_line::OpenRequest;
+use super::restoration::Restoration;
 use crate::frontend::{FrontendContext, ANSWER_MARGIN};
 use crate::model::{Arrival, RequestId, ServerId};
 use crate::net::Token;
@@ -13,9 +14,7 @@
 pub(super) struct Session {
     /// The client's request line.
     open: OpenRequest,
-    /// `None` while a session from before this process started is being restored: it becomes a request once its server
-    /// has accepted it.
-    request_id: Option<RequestId>,
+    request: SessionRequest,
     /// The server of the latest attempt.
     server: Option<ServerId>,
     state: SessionState,
@@ -26,6 +25,15 @@
     end_announced: bool,
 }
 
+/// The request of a session.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SessionRequest {
+    /// A session from before this process started is being restored.
+    Restoring(Restoration),
+    /// The session's request in the request table.
+    Open(RequestId),
+}
+
 /// The state of a session.
 pub(super) enum SessionState {
     /// The request waits for its first or next attempt.
@@ -81,11 +89,20 @@
 }
 
 impl Session {
-    /// Creates a session that has no request in the request table yet.
-    pub(super) fn new(open: OpenRequest) -> Session {
+    /// Creates a session from before this process started, which is being restored.
+    pub(super) fn restoring(open: OpenRequest, now: MonotonicTime) -> Session {
+        Session::new(open, SessionRequest::Restoring(Restoration::new(now)))
+    }
+
+    /// Creates a session with a request in the request table.
+    pub(super) fn with_request(open: OpenRequest, request_id: RequestId) -> Session {
+        Session::new(open, SessionRequest::Open(request_id))
+    }
+
+    fn new(open: OpenRequest, request: SessionRequest) -> Session {
         Session {
             open,
-            request_id: None,
+            request,
             server: None,
             state: SessionState::AwaitingAttempt,
             is_answered: false,
@@ -93,11 +110,6 @@
         }
     }
 
-    /// Creates a session with a request in the request table.
-    pub(super) fn with_request(open: OpenRequest, request_id: RequestId) -> Session {
-        Session { request_id: Some(request_id), ..Session::new(open) }
-    }
-
     /// Creates an established session that was transferred from another process.
     pub(super) fn inherited(
         open: OpenRequest,
@@ -120,7 +132,26 @@
 
     /// The request; `None` while a session from before this process started is being restored.
     pub(super) fn request_id(&self) -> Option<RequestId> {
-        self.request_id
+        match self.request {
+            SessionRequest::Open(request_id) => Some(request_id),
+            SessionRequest::Restoring(_) => None,
+        }
+    }
+
+    /// The progress of a session that is being restored; `None` once it has a request.
+    pub(super) fn restoration(&self) -> Option<&Restoration> {
+        match &self.request {
+            SessionRequest::Restoring(restoration) => Some(restoration),
+            SessionRequest::Open(_) => None,
+        }
+    }
+
+    /// Mutable access to the progress of a session that is being restored.
+    pub(super) fn restoration_mut(&mut self) -> Option<&mut Restoration> {
+        match &mut self.request {
+            SessionRequest::Restoring(restoration) => Some(restoration),
+            SessionRequest::Open(_) => None,
+        }
     }
 
     /// The server of the latest attempt.
@@ -135,7 +166,7 @@
 
     /// The number of the request for log events; 0 if there is no request yet.
     pub(super) fn request_number(&self) -> u64 {
-        self.request_id.map_or(0, |request_id| request_id.0)
+        self.request_id().map_or(0, |request_id| request_id.0)
     }
 
     /// Whether the server has accepted the client.
@@ -188,7 +219,7 @@
 
     /// Records the id of the session's request in the request table.
     pub(super) fn set_request_id(&mut self, request_id: RequestId) {
-        self.request_id = Some(request_id);
+        self.request = SessionRequest::Open(request_id);
     }
 
     /// Records that an attempt of the request has started.
--- a/src/frontend/text/session_end.rs
+++ b/src/frontend/text/session_end.rs
@@ -1,5 +1,6 @@
 //! Ending attempts and sessions: sending final answers and closing connections.
 
+use super::restoration::{self, FailedAttempt};
 use super::session::{Session, SessionEnding, SessionState};
 use super::sessions::Sessions;
 use crate::frontend::FrontendContext;
@@ -74,13 +75,17 @@
         }
         return on_server_connection_end(sessions, ctx, client, ending, end);
     }
+    let attempt = FailedAttempt {
+        outcome,
+        line_sent: session.attempt().is_some_and(|attempt| attempt.line_sent),
+        error: session.server_connection().and_then(|connection| ctx.net.connection_error(connection)),
+    };
     drop_attempt(sessions, ctx, client);
     match request_id {
         Some(request_id) => {
             ctx.requests.on_attempt_ended(ctx.now, request_id, outcome);
         }
-        None if outcome == Outcome::Rejected => answer_and_close(sessions, ctx, client, b"BUSY\r\n"),
-        None => answer_and_close(sessions, ctx, client, b"ERR\r\n"),
+        None => restoration::on_attempt_end(sessions, ctx, client, attempt),
     }
 }
 
--- a/src/frontend/text/sessions.rs
+++ b/src/frontend/text/sessions.rs
@@ -1,6 +1,5 @@
 //! The table of all sessions, indexed by client connection, request, server connection and client-assigned id.
 
-use super::request_line::OpenRequest;
 use super::session::{AttemptState, Session, SessionState};
 use crate::model::{RequestId, ServerId};
 use crate::net::Token;
@@ -61,11 +60,6 @@
         self.by_client.is_empty()
     }
 
-    /// Adds a session for a client whose request is not in the request table yet.
-    pub(super) fn open(&mut self, client: Token, open: OpenRequest) {
-        self.insert(client, Session::new(open));
-    }
-
     /// Adds a session and indexes its request and its server connection, if it has them.
     pub(super) fn insert(&mut self, client: Token, session: Session) {
         self.open_ids.insert(session.open().id.clone());
--- a/src/frontend/text/sessions/tests.rs
+++ b/src/frontend/text/sessions/tests.rs
@@ -1,6 +1,6 @@
 use super::Sessions;
 use crate::frontend::text::request_line::OpenRequest;
-use crate::frontend::text::session::{AttemptState, SessionState};
+use crate::frontend::text::session::{AttemptState, Session, SessionState};
 use crate::model::{RequestId, ServerId};
 use crate::net::Token;
 use sparbank_time::MonotonicTime;
@@ -18,7 +18,7 @@
 /// A session with a request and an attempt on this connection.
 fn sessions_with_attempt(server_connection: Token) -> Sessions {
     let mut sessions = Sessions::default();
-    sessions.open(client(), OpenRequest::for_tests("a"));
+    sessions.insert(client(), Session::restoring(OpenRequest::for_tests("a"), MonotonicTime::ZERO));
     sessions.set_request_id(client(), REQUEST);
     sessions.set_attempt(client(), ServerId(3), attempt_on(server_connection));
     sessions
--- a/src/net/buffered_sockets.rs
+++ b/src/net/buffered_sockets.rs
@@ -251,7 +251,7 @@
         let was_connected = socket.state() != SocketState::Connecting;
         let all_written = was_connected && socket.buffers.pending_output_bytes() == 0;
         socket.buffers.read_after_failure(&socket.fd, &mut self.read_chunk);
-        socket.fail();
+        socket.fail(error);
         tracing::trace!(connection = %token, ?error, all_written, "connection failed");
         self.store.deregister(token);
         self.store.emit(token, SocketEventKind::Failed { all_written });
--- a/src/net/reactor/queries.rs
+++ b/src/net/reactor/queries.rs
@@ -3,6 +3,7 @@
 use super::{ShortageCounts, SocketReactor};
 use crate::net::slab::Token;
 use crate::net::socket::{Socket, SocketState};
+use rustix::io::Errno;
 use sparbank_time::MonotonicTime;
 use std::net::SocketAddr;
 use std::os::fd::OwnedFd;
@@ -29,6 +30,11 @@
         self.socket(token).is_some_and(|socket| socket.state() == SocketState::Failed)
     }
 
+    /// The error with which the connection has failed, if it is known.
+    pub fn connection_error(&self, token: Token) -> Option<Errno> {
+        self.socket(token).and_then(Socket::error)
+    }
+
     /// Whether the connection is still being established.
     pub fn is_connecting(&self, token: Token) -> bool {
         self.socket(token).is_some_and(|socket| socket.state() == SocketState::Connecting)
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -5,6 +5,7 @@
 use super::event::SocketOwner;
 use super::slab::Token;
 use super::system::Interest;
+use rustix::io::Errno;
 use sparbank_time::MonotonicTime;
 use std::os::fd::OwnedFd;
 
@@ -60,6 +61,8 @@
     /// The events that epoll watches the socket for.
     pub(super) registration: EpollRegistration,
     state: SocketState,
+    /// The error with which the connection has failed, if it is known.
+    error: Option<Errno>,
     write_state: WriteState,
     /// The peer has closed its write side.
     read_closed: bool,
@@ -80,6 +83,7 @@
             buffers: Buffers::new(),
             registration: EpollRegistration::new(interest),
             state,
+            error: None,
             write_state: WriteState::Open,
             read_closed: false,
             last_peer_activity: MonotonicTime::ZERO,
@@ -158,9 +162,15 @@
         self.state = SocketState::Open;
     }
 
-    /// Marks the connection as failed.
-    pub(super) fn fail(&mut self) {
+    /// Marks the connection as failed with this error, if it is known.
+    pub(super) fn fail(&mut self, error: Option<Errno>) {
         self.state = SocketState::Failed;
+        self.error = error;
+    }
+
+    /// The error with which the connection has failed, if it is known.
+    pub(super) fn error(&self) -> Option<Errno> {
+        self.error
     }
 
     /// Records that the peer has closed its write side.
