--- a/crates/test-support/src/peer.rs
+++ b/crates/test-support/src/peer.rs
@@ -106,6 +106,11 @@
         }
     }
 
+    /// Sets the time-out of reads, for events that are due later than [`IO_TIMEOUT`].
+    pub fn set_read_timeout(&self, timeout: Duration) {
+        self.stream.set_read_timeout(Some(timeout)).expect("failed to set the read time-out");
+    }
+
     /// Reads what has arrived, or waits until something arrives. Panics at the time-out.
     pub fn receive(&mut self, chunk: &mut [u8]) -> Received {
         receive(&mut self.reader, chunk)
