Give each restored session the 40 s of the protocol, whatever its line has as `d`

What callers saw: a client that restores a session and sends no `d` got ERR after its class's hard limit (1.2 s), and one whose `d` has over 32 bits got ERR at once.

Cause: the request line's deadline was the class's hard limit without `d`, as for a request, and milliseconds were parsed to 32 bits.

Change: the line of a session that is restored has 40 s, or `d` if that is less. Milliseconds are parsed to 64 bits and saturate; requests over an hour are still malformed.

--- a/src/frontend/text/request_line.rs
+++ b/src/frontend/text/request_line.rs
@@ -4,15 +4,17 @@
 use crate::hash::fnv1a;
 use crate::model::RequestClass;
 use sparbank_time::DurationExt;
+use std::num::IntErrorKind;
 use std::ops::Range;
 use std::time::Duration;
 
 /// The maximum length of an id or a key, in bytes.
 const MAX_ID_BYTES: usize = 64;
 /// The maximum deadline of a request, in milliseconds. It does not apply to clients that restore a session from
-/// before this process started: those send larger values (4,294,967 was observed), and no server is selected for
-/// them.
+/// before this process started, which send larger values.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
+/// A session from before this process started is lost if it is not restored after this time.
+const RESTORATION_TIMEOUT: Duration = Duration::from_secs(40);
 /// The maximum load of a hint or a report, in microseconds of work per second.
 const MAX_LOAD_MICROS_PER_SECOND: f64 = 1e12;
 
@@ -137,10 +139,10 @@
         if needs_server_selection && fields.deadline_ms.is_some_and(|ms| ms > MAX_DEADLINE_MS) {
             return None;
         }
-        let time_left = match fields.deadline_ms {
-            Some(ms) => Duration::from_millis(ms),
-            None => classes.get(class)?.hard_limit,
-        };
+        let hard_limit = classes.get(class)?.hard_limit;
+        let default_time = if needs_server_selection { hard_limit } else { RESTORATION_TIMEOUT };
+        let time_left = fields.deadline_ms.map_or(default_time, Duration::from_millis);
+        let time_left = if needs_server_selection { time_left } else { time_left.min(RESTORATION_TIMEOUT) };
         Some(OpenRequest {
             id: id.to_string(),
             line: line.to_string(),
@@ -205,7 +207,11 @@
     if !value.bytes().all(|byte| byte.is_ascii_digit()) {
         return None;
     }
-    value.parse::<u32>().ok().map(u64::from)
+    match value.parse::<u64>() {
+        Ok(ms) => Some(ms),
+        Err(error) if *error.kind() == IntErrorKind::PosOverflow => Some(u64::MAX),
+        Err(_) => None,
+    }
 }
 
 fn parse_flag(value: &str) -> Option<bool> {
