Restore sessions through the request table, with further attempts and a final answer

Cause: until its server had accepted it, a restored session was no request. It stood beside the request table and had one attempt, whose end was final, whatever it was; and what goes by request ids (a shutdown's final answers, the drain of servers, counting, the exit of an idle process) did not see it or treated it as a selected attempt.

Change: the session is in the request table from its line on (RequestState::Restoring). One attempt is out at a time, always to the same server, which is looked up for each attempt. Shutdowns end the session like a request; drains of servers don't touch it; its end at the deadline first reads what has arrived. `Session` has a request id always, which removes five branches.

--- a/src/frontend/text/attempt.rs
+++ b/src/frontend/text/attempt.rs
@@ -32,13 +32,23 @@
     } else if !ctx.net.has_descriptor_for_attempt() {
         Err(Outcome::LocalShortage)
     } else {
-        connect(sessions, ctx, client, server, timeout)
+        let timeouts = Timeouts { connect: ctx.settings.dial_timeout, answer: timeout };
+        connect(sessions, ctx, client, server, timeouts)
     };
     if let Err(outcome) = result {
         ctx.requests.on_attempt_ended(ctx.now, request_id, outcome);
     }
 }
 
+/// The time limits of an attempt, from its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Timeouts {
+    /// The time for establishing the connection.
+    pub(super) connect: Duration,
+    /// The time until the server has answered.
+    pub(super) answer: Duration,
+}
+
 /// Starts connecting to a server. The request line is sent once the connection is established ([`send_request`]).
 ///
 /// # Errors
@@ -48,7 +58,7 @@
     ctx: &mut FrontendContext,
     client: Token,
     server: ServerId,
-    timeout: Duration,
+    timeouts: Timeouts,
 ) -> Result<(), Outcome> {
     if !sessions.contains(client) {
         return Ok(());
@@ -56,9 +66,9 @@
     let endpoint = ctx.registry.entry(server).ok_or(Outcome::ConnectFailed)?;
     let result = ctx.net.connect(endpoint.address(), SocketOwner::Frontend(TEXT_FRONTEND));
     let server_connection = result.map_err(ConnectError::outcome)?;
-    let connect_deadline = ctx.now + ctx.settings.dial_timeout;
+    let connect_deadline = ctx.now + timeouts.connect;
     ctx.wheel.schedule(connect_deadline, TimerEvent::ConnectTimeout(TEXT_FRONTEND, server_connection));
-    let attempt = AttemptState { server_connection, deadline: ctx.now + timeout, line_sent: false };
+    let attempt = AttemptState { server_connection, deadline: ctx.now + timeouts.answer, line_sent: false };
     sessions.set_attempt(client, server, attempt);
     Ok(())
 }
@@ -72,6 +82,9 @@
     let Some(attempt) = session.mark_line_sent() else { return };
     let time_left = attempt.deadline.saturating_duration_since(ctx.now);
     ctx.net.send(attempt.server_connection, session.open().line_for_server(time_left).as_bytes());
+    if let (Some(_), Some(server)) = (session.restoration(), session.server()) {
+        ctx.requests.on_restore_attempt_sent(ctx.now, session.request_id(), server);
+    }
 }
 
 fn check_send(sessions: &Sessions, ctx: &mut FrontendContext, client: Token) -> Result<(), SendRefusal> {
@@ -79,14 +92,7 @@
     ctx.net.read_available(client);
     let client_disconnected = has_disconnected(ctx, client);
     let server_ready = session.server().is_some_and(|server| is_ready(ctx, server));
-    match session.request_id() {
-        Some(request_id) => {
-            ctx.requests.may_send(ctx.now, request_id, PeerStatus { client_disconnected, server_ready })
-        }
-        // A session being restored returns to its previous server, whatever the server's lifecycle state.
-        None if client_disconnected => Err(SendRefusal::ClientDisconnected),
-        None => Ok(()),
-    }
+    ctx.requests.may_send(ctx.now, session.request_id(), PeerStatus { client_disconnected, server_ready })
 }
 
 fn on_send_refused(sessions: &mut Sessions, ctx: &mut FrontendContext, client: Token, refusal: SendRefusal) {
@@ -126,14 +132,15 @@
     }
 }
 
-/// Cancels the attempts at these servers of which no byte has been written.
+/// Cancels the attempts at these servers of which no byte has been written, except those that restore sessions.
 pub(super) fn cancel_unsent(sessions: &mut Sessions, ctx: &mut FrontendContext, servers: &[ServerId]) {
     let unsent: Vec<Token> = sessions
         .iter()
         .filter(|(_, session)| {
             let attempt = session.attempt();
+            let is_selected = session.restoration().is_none();
             let is_unsent = attempt.is_some_and(|attempt| !ctx.net.has_written(attempt.server_connection));
-            is_unsent && session.server().is_some_and(|server| servers.contains(&server))
+            is_selected && is_unsent && session.server().is_some_and(|server| servers.contains(&server))
         })
         .map(|(client, _)| client)
         .collect();
@@ -143,6 +150,6 @@
 }
 
 /// Whether a server accepts new requests according to the endpoint list.
-pub(super) fn is_ready(ctx: &FrontendContext, server: ServerId) -> bool {
+fn is_ready(ctx: &FrontendContext, server: ServerId) -> bool {
     ctx.registry.entry(server).is_some_and(|endpoint| endpoint.is_ready())
 }
--- a/src/frontend/text/client_input.rs
+++ b/src/frontend/text/client_input.rs
@@ -31,12 +31,12 @@
     if !has_input && event == ConnectionEvent::Ready && !ctx.net.is_read_closed(client) {
         return;
     }
-    let Some(request_id) = session.request_id() else {
+    if session.restoration().is_some() {
         let failure =
             if has_input { RestorationFailure::MoreInput } else { RestorationFailure::ClientDisconnected };
         return restoration::fail(sessions, ctx, client, failure);
-    };
-    ctx.requests.on_client_disconnected(ctx.now, request_id);
+    }
+    ctx.requests.on_client_disconnected(ctx.now, session.request_id());
     if has_input {
         // A client must not send anything before UP, because such lines could not be assigned to a request or
         // session.
--- a/src/frontend/text/handover.rs
+++ b/src/frontend/text/handover.rs
@@ -120,7 +120,7 @@
     let established = TransferredEstablished {
         request_line: session.open().line().to_string(),
         server_name: endpoint.name().to_string(),
-        started_at: session.request_id().and_then(|request_id| ctx.requests.hand_over(request_id))?,
+        started_at: ctx.requests.hand_over(session.request_id())?,
         unanswered_since: established.unanswered_since,
         ending: established.ending,
         load: established.load,
--- a/src/frontend/text/mod.rs
+++ b/src/frontend/text/mod.rs
@@ -52,7 +52,7 @@
 use health_check::HealthChecks;
 use latency::LatencyTracker;
 use request_opening::IdleClose;
-use restoration::RestorationFailure;
+use restoration::{DueWork, RestorationFailure};
 use server_events::ServerEvents;
 use session::Session;
 use session_end::answer_and_close;
@@ -111,6 +111,29 @@
         ctx.net.update_interest(token);
     }
 
+    fn is_restoring(&self, client: Token) -> bool {
+        self.sessions.get(client).is_some_and(|session| session.restoration().is_some())
+    }
+
+    fn on_restoration_timer(&mut self, ctx: &mut FrontendContext, client: Token, due: DueWork) {
+        match due {
+            DueWork::FinalAnswer => {
+                self.read_first_answer(ctx, client);
+                restoration::on_deadline(&mut self.sessions, ctx, client);
+            }
+            DueWork::Retry => restoration::retry(&mut self.sessions, ctx, client),
+            DueWork::Nothing => {}
+        }
+    }
+
+    /// Handles what has already arrived from the server of a client's attempt.
+    fn read_first_answer(&mut self, ctx: &mut FrontendContext, client: Token) {
+        let connection = self.sessions.get(client).and_then(|session| session.server_connection());
+        let Some(connection) = connection else { return };
+        ctx.net.read_available(connection);
+        self.server_events().handle(ctx, client, connection, ConnectionEvent::Ready);
+    }
+
     fn on_awaiting_client_event(&mut self, ctx: &mut FrontendContext, token: Token, event: ConnectionEvent) {
         match event {
             ConnectionEvent::Ready => {
@@ -188,11 +211,9 @@
     }
 
     fn read_answer(&mut self, ctx: &mut FrontendContext, request_id: RequestId) {
-        let Some(client) = self.sessions.client_of_request(request_id) else { return };
-        let connection = self.sessions.get(client).and_then(|session| session.server_connection());
-        let Some(connection) = connection else { return };
-        ctx.net.read_available(connection);
-        self.server_events().handle(ctx, client, connection, ConnectionEvent::Ready);
+        if let Some(client) = self.sessions.client_of_request(request_id) {
+            self.read_first_answer(ctx, client);
+        }
     }
 
     fn reject(&mut self, ctx: &mut FrontendContext, request_id: RequestId, retry_after: Duration) {
@@ -206,7 +227,10 @@
     }
 
     fn fail(&mut self, ctx: &mut FrontendContext, request_id: RequestId) {
-        if let Some(client) = self.sessions.client_of_request(request_id) {
+        let Some(client) = self.sessions.client_of_request(request_id) else { return };
+        if self.is_restoring(client) {
+            restoration::fail(&mut self.sessions, ctx, client, RestorationFailure::Closing);
+        } else {
             answer_and_close(&mut self.sessions, ctx, client, b"ERR\r\n");
         }
     }
@@ -258,17 +282,19 @@
         }
     }
 
-    /// Handles the three timers of this frontend: the time-out of a health check, the deadline of a session being
-    /// restored, and the time-out of a connection that its client has half-closed.
+    /// Handles the timers of this frontend: the time-out of a health check, the deadline and the backoff of a session
+    /// being restored, and the time-out of a connection that its client has half-closed.
     fn on_timer(&mut self, ctx: &mut FrontendContext, token: Token) {
         if self.health_checks.has_timed_out(token, ctx.now) {
             return self.health_checks.close(ctx, token);
         }
         let Some(session) = self.sessions.get(token) else { return };
-        if session.restoration().is_some() {
-            restoration::fail(&mut self.sessions, ctx, token, RestorationFailure::DeadlinePassed);
-        } else {
-            on_half_closed_timeout(&mut self.sessions, ctx, token);
+        match session.restoration() {
+            Some(restoration) => {
+                let due = restoration::due_work(restoration, ctx.now);
+                self.on_restoration_timer(ctx, token, due);
+            }
+            None => on_half_closed_timeout(&mut self.sessions, ctx, token),
         }
     }
 
--- a/src/frontend/text/request_opening.rs
+++ b/src/frontend/text/request_opening.rs
@@ -136,12 +136,12 @@
         return refuse_start(awaiting, ctx, token, &open, refusal);
     }
     awaiting.remove(token);
-    match open.restored_server.clone() {
-        Some(server_name) => {
-            sessions.insert(token, Session::restoring(open, ctx.now));
-            restoration::start(sessions, ctx, token, &server_name);
-        }
-        None => submit_request(sessions, ctx, token, open),
+    if open.restored_server.is_some() {
+        let request_id = ctx.requests.on_restoration(ctx.now, TEXT_FRONTEND, arrival(&open));
+        let session = Session::restoring(open, request_id, ctx.now);
+        restoration::start(sessions, ctx, token, session);
+    } else {
+        submit_request(sessions, ctx, token, open);
     }
 }
 
--- a/src/frontend/text/restoration.rs
+++ b/src/frontend/text/restoration.rs
@@ -1,13 +1,18 @@
 //! Restoring the sessions that clients had before this process started. Each returns to its previous server, and no
-//! server is selected for it. It becomes a request in the request table once that server has accepted it.
+//! server is selected for it.
+//!
+//! The request table has the session from its request line on, and decides whether and when a failed attempt is followed
+//! by another one. This module makes the attempts, and gives the final answer if the session is not restored.
 
 use super::attempt;
-use super::session::Session;
-use super::session_end::answer_and_close;
+use super::session::{arrival, Session};
+use super::session_end::{self, answer_and_close, ConnectionEnd};
 use super::sessions::Sessions;
 use crate::frontend::{FrontendContext, TimerEvent, ANSWER_MARGIN, TEXT_FRONTEND};
-use crate::model::{Outcome, ServerId};
+use crate::model::{Outcome, RequestId, ServerId};
 use crate::net::Token;
+use crate::requests::FlowResult;
+use crate::rules::RetryRefusal;
 use rustix::io::Errno;
 use sparbank_time::{DurationExt, MonotonicTime};
 use std::time::Duration;
@@ -18,14 +23,21 @@
 pub(super) struct Restoration {
     /// When the request line was handled.
     started_at: MonotonicTime,
+    /// When the client is sent its final answer at the latest.
+    answer_by: MonotonicTime,
     /// The number of attempts started.
     attempts: u32,
+    /// When the next attempt starts, while none is in flight.
+    retry_at: Option<MonotonicTime>,
+    /// How the latest attempt has ended.
+    last_failure: Option<FailedAttempt>,
 }
 
 impl Restoration {
-    /// The progress of a session whose request line is handled now.
-    pub(super) fn new(now: MonotonicTime) -> Restoration {
-        Restoration { started_at: now, attempts: 0 }
+    /// The progress of a session whose request line is handled now, for a client that waits for `time_left`.
+    pub(super) fn new(now: MonotonicTime, time_left: Duration) -> Restoration {
+        let answer_by = now + time_left.saturating_sub(ANSWER_MARGIN);
+        Restoration { started_at: now, answer_by, attempts: 0, retry_at: None, last_failure: None }
     }
 }
 
@@ -43,85 +55,143 @@
 /// Why a session is not restored.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub(super) enum RestorationFailure {
-    /// The endpoint list does not contain the server.
-    #[error("unknown-server")]
-    UnknownServer,
-    /// The attempt has ended without being accepted.
-    #[error("attempt-ended")]
-    AttemptEnded(FailedAttempt),
-    /// The client's deadline is about to pass.
-    #[error("deadline-passed")]
-    DeadlinePassed,
+    /// The session gets no further attempt.
+    #[error("{0}")]
+    NoFurtherAttempt(RetryRefusal),
     /// The client has closed or reset its connection.
     #[error("client-gone")]
     ClientDisconnected,
     /// The client has sent more than the request line before it was answered.
     #[error("more-input")]
     MoreInput,
+    /// The process is about to exit.
+    #[error("closing")]
+    Closing,
 }
 
 impl RestorationFailure {
-    /// The final answer to the client.
-    fn answer(self) -> &'static [u8] {
+    fn flow_result(self) -> FlowResult {
         match self {
-            RestorationFailure::AttemptEnded(FailedAttempt { outcome: Outcome::Rejected, .. })
-            | RestorationFailure::ClientDisconnected => b"BUSY\r\n",
-            RestorationFailure::UnknownServer
-            | RestorationFailure::AttemptEnded(_)
-            | RestorationFailure::DeadlinePassed
-            | RestorationFailure::MoreInput => b"ERR\r\n",
+            RestorationFailure::ClientDisconnected => FlowResult::ClientDisconnected,
+            _ => FlowResult::Failed,
         }
     }
+}
 
-    fn is_malformed(self) -> bool {
-        matches!(self, RestorationFailure::UnknownServer | RestorationFailure::MoreInput)
-    }
-
-    fn failed_attempt(self) -> Option<FailedAttempt> {
-        match self {
-            RestorationFailure::AttemptEnded(attempt) => Some(attempt),
-            _ => None,
-        }
-    }
+/// Opens a request for a client that had a session at a server, and starts the first attempt.
+pub(super) fn start(sessions: &mut Sessions, ctx: &mut FrontendContext, client: Token, session: Session) {
+    trace_start(ctx, client, &session);
+    let answer_by = session.restoration().map_or(ctx.now, |restoration| restoration.answer_by);
+    sessions.insert(client, session);
+    ctx.wheel.schedule(answer_by, TimerEvent::FrontendTimer(TEXT_FRONTEND, client));
+    start_attempt(sessions, ctx, client);
 }
 
-/// Reconnects a client to the server that its session had.
-pub(super) fn start(sessions: &mut Sessions, ctx: &mut FrontendContext, client: Token, server_name: &str) {
-    let timeout = sessions.get(client).map_or(Duration::ZERO, |session| session.open().time_left);
-    trace_start(sessions, ctx, client, server_name);
-    let Some(server) = ctx.registry.id_of(server_name) else {
-        return fail(sessions, ctx, client, RestorationFailure::UnknownServer);
+fn start_attempt(sessions: &mut Sessions, ctx: &mut FrontendContext, client: Token) {
+    let Some(session) = sessions.get_mut(client) else { return };
+    let request_id = session.request_id();
+    let connect_timeout = match ctx.requests.start_restore_attempt(ctx.now, request_id) {
+        Ok(connect_timeout) => connect_timeout,
+        Err(refusal) => {
+            return fail(sessions, ctx, client, RestorationFailure::NoFurtherAttempt(refusal));
+        }
     };
-    let answer_deadline = ctx.now + timeout.saturating_sub(ANSWER_MARGIN);
-    ctx.wheel.schedule(answer_deadline, TimerEvent::FrontendTimer(TEXT_FRONTEND, client));
-    connect(sessions, ctx, client, server, timeout);
+    if let Some(restoration) = session.restoration_mut() {
+        restoration.attempts += 1;
+        restoration.retry_at = None;
+    }
+    if let Err(outcome) = connect(sessions, ctx, client, connect_timeout) {
+        on_attempt_end(sessions, ctx, client, FailedAttempt { outcome, line_sent: false, error: None });
+    }
 }
 
 fn connect(
     sessions: &mut Sessions,
     ctx: &mut FrontendContext,
     client: Token,
-    server: ServerId,
-    timeout: Duration,
-) {
-    if let Some(restoration) = sessions.get_mut(client).and_then(Session::restoration_mut) {
-        restoration.attempts += 1;
-    }
-    ctx.requests.counters_mut().restore_attempts += 1;
-    if let Err(outcome) = attempt::connect(sessions, ctx, client, server, timeout) {
-        let attempt = FailedAttempt { outcome, line_sent: false, error: None };
-        on_attempt_end(sessions, ctx, client, attempt);
+    connect_timeout: Duration,
+) -> Result<(), Outcome> {
+    let Some(session) = sessions.get(client) else { return Ok(()) };
+    // The endpoint list may not contain the server yet, or may list it again under another id.
+    let server = listed_server(ctx, session).ok_or(Outcome::NotSent)?;
+    if !ctx.net.has_descriptor_for_attempt() {
+        return Err(Outcome::LocalShortage);
     }
+    let answer_by = session.restoration().map_or(ctx.now, |restoration| restoration.answer_by);
+    let timeout = answer_by.saturating_duration_since(ctx.now);
+    attempt::connect(
+        sessions,
+        ctx,
+        client,
+        server,
+        attempt::Timeouts { connect: connect_timeout, answer: timeout },
+    )
+}
+
+fn listed_server(ctx: &FrontendContext, session: &Session) -> Option<ServerId> {
+    ctx.registry.id_of(session.open().restored_server.as_deref()?)
 }
 
-/// Handles the end of an attempt to restore a session.
+/// Handles the end of an attempt to restore a session: schedules the next one, or gives the final answer.
 pub(super) fn on_attempt_end(
     sessions: &mut Sessions,
     ctx: &mut FrontendContext,
     client: Token,
     attempt: FailedAttempt,
 ) {
-    fail(sessions, ctx, client, RestorationFailure::AttemptEnded(attempt));
+    let Some(session) = sessions.get_mut(client) else { return };
+    let (request_id, server) = (session.request_id(), session.server());
+    let Some(restoration) = session.restoration_mut() else { return };
+    restoration.last_failure = Some(attempt);
+    match ctx.requests.on_restore_attempt_ended(ctx.now, request_id, server, attempt.outcome) {
+        Ok(backoff) => {
+            let retry_at = ctx.now + backoff;
+            restoration.retry_at = Some(retry_at);
+            ctx.wheel.schedule(retry_at, TimerEvent::FrontendTimer(TEXT_FRONTEND, client));
+            log_retry(session, backoff);
+        }
+        Err(refusal) => fail(sessions, ctx, client, RestorationFailure::NoFurtherAttempt(refusal)),
+    }
+}
+
+/// The work that is due for a session when its timer elapses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum DueWork {
+    /// The client must be sent its final answer, unless the server's answer has arrived.
+    FinalAnswer,
+    /// The next attempt starts.
+    Retry,
+    /// Nothing: the timer is that of an earlier state.
+    Nothing,
+}
+
+/// Returns what is due for a session that is being restored.
+pub(super) fn due_work(restoration: &Restoration, now: MonotonicTime) -> DueWork {
+    if now >= restoration.answer_by {
+        DueWork::FinalAnswer
+    } else if restoration.retry_at.is_some_and(|retry_at| now >= retry_at) {
+        DueWork::Retry
+    } else {
+        DueWork::Nothing
+    }
+}
+
+/// Ends the restoration of a session whose client's deadline is about to pass, unless it has been restored meanwhile.
+pub(super) fn on_deadline(sessions: &mut Sessions, ctx: &mut FrontendContext, client: Token) {
+    let Some(session) = sessions.get(client).filter(|session| session.restoration().is_some()) else {
+        return;
+    };
+    let Some(attempt) = session.attempt() else {
+        let failure = RestorationFailure::NoFurtherAttempt(RetryRefusal::DeadlinePassed);
+        return fail(sessions, ctx, client, failure);
+    };
+    let outcome = if attempt.is_line_written(ctx) { Outcome::Timeout } else { Outcome::ConnectFailed };
+    session_end::on_attempt_end(sessions, ctx, client, outcome, ConnectionEnd::Reset);
+}
+
+/// Starts the next attempt.
+pub(super) fn retry(sessions: &mut Sessions, ctx: &mut FrontendContext, client: Token) {
+    start_attempt(sessions, ctx, client);
 }
 
 /// Gives up restoring a session: sends the client its final answer and closes its connection.
@@ -131,54 +201,85 @@
     client: Token,
     failure: RestorationFailure,
 ) {
-    let counters = ctx.requests.counters_mut();
-    counters.restore_failed += 1;
-    if failure.is_malformed() {
-        counters.malformed += 1;
+    let Some(session) = sessions.get(client) else { return };
+    let request_id = session.request_id();
+    log_failure(ctx, client, session, failure);
+    let answer = final_answer(ctx, request_id, failure);
+    if failure == RestorationFailure::MoreInput {
+        ctx.requests.counters_mut().malformed += 1;
     }
-    if let Some(session) = sessions.get(client) {
-        log_failure(ctx, client, session, failure);
+    ctx.requests.abandon_restoration(ctx.now, request_id, failure.flow_result());
+    answer_and_close(sessions, ctx, client, answer);
+}
+
+/// The final answer: a rejection if the client may send its request again without a risk, otherwise a failure.
+fn final_answer(ctx: &FrontendContext, request_id: RequestId, failure: RestorationFailure) -> &'static [u8] {
+    match failure {
+        RestorationFailure::NoFurtherAttempt(_) if ctx.requests.may_reject_restoration(request_id) => {
+            b"BUSY\r\n"
+        }
+        RestorationFailure::ClientDisconnected => b"BUSY\r\n",
+        RestorationFailure::NoFurtherAttempt(_)
+        | RestorationFailure::MoreInput
+        | RestorationFailure::Closing => b"ERR\r\n",
     }
-    answer_and_close(sessions, ctx, client, failure.answer());
 }
 
 fn log_failure(ctx: &FrontendContext, client: Token, session: &Session, failure: RestorationFailure) {
     let Some(restoration) = session.restoration() else { return };
-    let attempt = failure.failed_attempt();
+    let last = restoration.last_failure;
     tracing::warn!(
         id = %session.open().id,
         server = %session.open().restored_server.as_deref().unwrap_or("-"),
+        is_listed = listed_server(ctx, session).is_some(),
         reason = %failure,
-        outcome = ?attempt.map(|attempt| attempt.outcome),
-        line_sent = attempt.is_some_and(|attempt| attempt.line_sent),
-        error = ?attempt.and_then(|attempt| attempt.error),
         attempts = restoration.attempts,
+        last_outcome = ?last.map(|attempt| attempt.outcome),
+        last_line_sent = last.is_some_and(|attempt| attempt.line_sent),
+        last_error = ?last.and_then(|attempt| attempt.error),
         after_ms = ctx.now.saturating_duration_since(restoration.started_at).as_millis_u64(),
-        deadline_ms = session.open().time_left.as_millis_u64(),
         client_connection = %client,
         "session not restored"
     );
 }
 
-fn trace_start(sessions: &Sessions, ctx: &FrontendContext, client: Token, server_name: &str) {
-    let Some(session) = sessions.get(client) else { return };
+/// Logs the first failed attempt of a session for operators, and later ones at trace level.
+fn log_retry(session: &Session, backoff: Duration) {
+    let Some(restoration) = session.restoration() else { return };
+    let Some(attempt) = restoration.last_failure else { return };
+    let id = &session.open().id;
+    let server = session.open().restored_server.as_deref().unwrap_or("-");
+    let FailedAttempt { outcome, line_sent, error } = attempt;
+    let (attempts, retry_after_ms) = (restoration.attempts, backoff.as_millis_u64());
+    if attempts == 1 {
+        tracing::info!(%id, %server, ?outcome, line_sent, ?error, retry_after_ms, "session not restored yet, retrying");
+    } else {
+        tracing::trace!(%id, %server, ?outcome, line_sent, ?error, retry_after_ms, attempts, "restore attempt ended");
+    }
+}
+
+fn trace_start(ctx: &FrontendContext, client: Token, session: &Session) {
     tracing::trace!(
+        request = session.request_number(),
         id = %session.open().id,
-        server = %server_name,
-        is_ready = ctx.registry.id_of(server_name).is_some_and(|server| attempt::is_ready(ctx, server)),
+        server = %session.open().restored_server.as_deref().unwrap_or("-"),
+        is_listed = listed_server(ctx, session).is_some(),
         deadline_ms = session.open().time_left.as_millis_u64(),
         client_connection = %client,
         "restoring session"
     );
 }
 
-/// Logs, at trace level, that the server has accepted a client whose session is being restored.
-pub(super) fn trace_restored(ctx: &FrontendContext, session: &Session) {
+/// Handles the acceptance of a session by its server.
+pub(super) fn on_accepted(ctx: &mut FrontendContext, session: &mut Session, server: ServerId) {
     let Some(restoration) = session.restoration() else { return };
     tracing::trace!(
+        request = session.request_number(),
         id = %session.open().id,
         attempts = restoration.attempts,
         after_ms = ctx.now.saturating_duration_since(restoration.started_at).as_millis_u64(),
         "session restored"
     );
+    ctx.requests.on_restored(session.request_id(), arrival(session.open()), server);
+    session.end_restoration();
 }
--- a/src/frontend/text/server_events.rs
+++ b/src/frontend/text/server_events.rs
@@ -6,11 +6,11 @@
 use super::line_buffer::{take_line, LineRead};
 use super::protocol_error::{log_malformed_trailing_report, server_name, ServerProtocolError};
 use super::request_line::parse_load;
-use super::restoration::trace_restored;
-use super::session::{arrival, SessionEnding};
+use super::restoration;
+use super::session::SessionEnding;
 use super::session_end::{on_attempt_end, ConnectionEnd};
 use super::sessions::Sessions;
-use crate::frontend::{FrontendContext, TEXT_FRONTEND};
+use crate::frontend::FrontendContext;
 use crate::model::{Event, Outcome, RequestId, ServerId};
 use crate::net::{Token, OUTPUT_HIGH_WATERMARK_BYTES};
 use sparbank_time::DurationExt;
@@ -158,18 +158,11 @@
 
     /// Handles `UP`: the server has accepted the client, and the session is established.
     fn on_accepted(&mut self, ctx: &mut FrontendContext, client: Token, line: &[u8]) {
-        let Some(session) = self.sessions.get(client) else { return };
-        match session.request_id() {
-            Some(request_id) => ctx.requests.on_established(ctx.now, request_id),
-            None => {
-                let Some(server) = session.server() else { return };
-                trace_restored(ctx, session);
-                let arrival = arrival(session.open());
-                let request_id = ctx.requests.restore_established(ctx.now, TEXT_FRONTEND, arrival, server);
-                self.sessions.set_request_id(client, request_id);
-            }
-        }
         let Some(session) = self.sessions.get_mut(client) else { return };
+        match session.server().filter(|_| session.restoration().is_some()) {
+            Some(server) => restoration::on_accepted(ctx, session, server),
+            None => ctx.requests.on_established(ctx.now, session.request_id()),
+        }
         session.establish();
         session.trace("established", ctx);
         ctx.net.send(client, line);
@@ -184,15 +177,15 @@
         let Some(established) = session.established_mut() else { return };
         let text = line.trim_ascii_end();
         established.ending = announced_ending(ctx, server, text);
-        match (text.strip_prefix(b"LOAD "), request_id) {
+        match text.strip_prefix(b"LOAD ") {
             // LOAD always reports the current load of the connection. No line of the protocol reports a latency.
-            (Some(value), Some(request_id)) => {
+            Some(value) => {
                 if let Some(load) = std::str::from_utf8(value).ok().and_then(|text| parse_load(text.trim())) {
                     established.load = Some(load);
                     report_load(ctx, request_id, load);
                 }
             }
-            _ => {
+            None => {
                 if let (Some(since), Some(server)) = (established.unanswered_since.take(), server) {
                     let latency = ctx.now.saturating_duration_since(since);
                     self.latencies.record(server, latency);
--- a/src/frontend/text/session.rs
+++ b/src/frontend/text/session.rs
@@ -14,7 +14,10 @@
 pub(super) struct Session {
     /// The client's request line.
     open: OpenRequest,
-    request: SessionRequest,
+    /// The session's request in the request table.
+    request_id: RequestId,
+    /// The progress of a session from before this process started, until its server has accepted it.
+    restoration: Option<Restoration>,
     /// The server of the latest attempt.
     server: Option<ServerId>,
     state: SessionState,
@@ -25,15 +28,6 @@
     end_announced: bool,
 }
 
-/// The request of a session.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum SessionRequest {
-    /// A session from before this process started is being restored.
-    Restoring(Restoration),
-    /// The session's request in the request table.
-    Open(RequestId),
-}
-
 /// The state of a session.
 pub(super) enum SessionState {
     /// The request waits for its first or next attempt.
@@ -89,20 +83,12 @@
 }
 
 impl Session {
-    /// Creates a session from before this process started, which is being restored.
-    pub(super) fn restoring(open: OpenRequest, now: MonotonicTime) -> Session {
-        Session::new(open, SessionRequest::Restoring(Restoration::new(now)))
-    }
-
     /// Creates a session with a request in the request table.
     pub(super) fn with_request(open: OpenRequest, request_id: RequestId) -> Session {
-        Session::new(open, SessionRequest::Open(request_id))
-    }
-
-    fn new(open: OpenRequest, request: SessionRequest) -> Session {
         Session {
             open,
-            request,
+            request_id,
+            restoration: None,
             server: None,
             state: SessionState::AwaitingAttempt,
             is_answered: false,
@@ -110,6 +96,12 @@
         }
     }
 
+    /// Creates a session from before this process started, which is being restored.
+    pub(super) fn restoring(open: OpenRequest, request_id: RequestId, now: MonotonicTime) -> Session {
+        let restoration = Some(Restoration::new(now, open.time_left));
+        Session { restoration, ..Session::with_request(open, request_id) }
+    }
+
     /// Creates an established session that was transferred from another process.
     pub(super) fn inherited(
         open: OpenRequest,
@@ -130,28 +122,24 @@
         &self.open
     }
 
-    /// The request; `None` while a session from before this process started is being restored.
-    pub(super) fn request_id(&self) -> Option<RequestId> {
-        match self.request {
-            SessionRequest::Open(request_id) => Some(request_id),
-            SessionRequest::Restoring(_) => None,
-        }
+    /// The session's request in the request table.
+    pub(super) fn request_id(&self) -> RequestId {
+        self.request_id
     }
 
-    /// The progress of a session that is being restored; `None` once it has a request.
+    /// The progress of a session that is being restored; `None` if it is not.
     pub(super) fn restoration(&self) -> Option<&Restoration> {
-        match &self.request {
-            SessionRequest::Restoring(restoration) => Some(restoration),
-            SessionRequest::Open(_) => None,
-        }
+        self.restoration.as_ref()
     }
 
     /// Mutable access to the progress of a session that is being restored.
     pub(super) fn restoration_mut(&mut self) -> Option<&mut Restoration> {
-        match &mut self.request {
-            SessionRequest::Restoring(restoration) => Some(restoration),
-            SessionRequest::Open(_) => None,
-        }
+        self.restoration.as_mut()
+    }
+
+    /// Records that the server has accepted a session that was being restored.
+    pub(super) fn end_restoration(&mut self) {
+        self.restoration = None;
     }
 
     /// The server of the latest attempt.
@@ -164,9 +152,9 @@
         &self.state
     }
 
-    /// The number of the request for log events; 0 if there is no request yet.
+    /// The number of the request for log events.
     pub(super) fn request_number(&self) -> u64 {
-        self.request_id().map_or(0, |request_id| request_id.0)
+        self.request_id.0
     }
 
     /// Whether the server has accepted the client.
@@ -217,11 +205,6 @@
         }
     }
 
-    /// Records the id of the session's request in the request table.
-    pub(super) fn set_request_id(&mut self, request_id: RequestId) {
-        self.request = SessionRequest::Open(request_id);
-    }
-
     /// Records that an attempt of the request has started.
     pub(super) fn start_attempt(&mut self, server: ServerId, attempt: AttemptState) {
         self.state = SessionState::Attempting(attempt);
--- a/src/frontend/text/session_end.rs
+++ b/src/frontend/text/session_end.rs
@@ -4,7 +4,7 @@
 use super::session::{Session, SessionEnding, SessionState};
 use super::sessions::Sessions;
 use crate::frontend::FrontendContext;
-use crate::model::{Outcome, RequestId};
+use crate::model::Outcome;
 use crate::net::Token;
 use crate::rules::{check_close, ViolationContext};
 
@@ -65,12 +65,12 @@
     end: ConnectionEnd,
 ) {
     let Some(session) = sessions.get(client) else { return };
-    let request_id = session.request_id();
+    let (request_id, is_restoring) = (session.request_id(), session.restoration().is_some());
     if let Some(established) = session.established() {
         let ending = established.ending;
         if outcome == Outcome::Error {
             // The server is reachable but violates the protocol, so the client has to reconnect.
-            ctx.requests.on_attempt_ended(ctx.now, request_id.unwrap_or(RequestId(0)), outcome);
+            ctx.requests.on_attempt_ended(ctx.now, request_id, outcome);
             return answer_and_close(sessions, ctx, client, b"MOVE\r\n");
         }
         return on_server_connection_end(sessions, ctx, client, ending, end);
@@ -81,11 +81,10 @@
         error: session.server_connection().and_then(|connection| ctx.net.connection_error(connection)),
     };
     drop_attempt(sessions, ctx, client);
-    match request_id {
-        Some(request_id) => {
-            ctx.requests.on_attempt_ended(ctx.now, request_id, outcome);
-        }
-        None => restoration::on_attempt_end(sessions, ctx, client, attempt),
+    if is_restoring {
+        restoration::on_attempt_end(sessions, ctx, client, attempt);
+    } else {
+        ctx.requests.on_attempt_ended(ctx.now, request_id, outcome);
     }
 }
 
@@ -146,9 +145,7 @@
     if is_announced {
         session.announce_end();
     }
-    if let Some(request_id) = session.request_id() {
-        ctx.requests.on_attempt_ended(ctx.now, request_id, outcome);
-    }
+    ctx.requests.on_attempt_ended(ctx.now, session.request_id(), outcome);
     if end == ConnectionEnd::Reset {
         for token in [Some(client), server_connection].into_iter().flatten() {
             if ctx.net.pending_output_bytes(token) == 0 {
--- a/src/frontend/text/sessions.rs
+++ b/src/frontend/text/sessions.rs
@@ -24,8 +24,8 @@
         self.by_client.get(&client)
     }
 
-    /// Returns the session of a client for modification. The request id and the server connection must be changed
-    /// through the methods below, which update the indexes.
+    /// Returns the session of a client for modification. The server connection must be changed through the
+    /// methods below, which update the indexes.
     pub(super) fn get_mut(&mut self, client: Token) -> Option<&mut Session> {
         self.by_client.get_mut(&client)
     }
@@ -60,26 +60,16 @@
         self.by_client.is_empty()
     }
 
-    /// Adds a session and indexes its request and its server connection, if it has them.
+    /// Adds a session and indexes its request and its server connection, if it has one.
     pub(super) fn insert(&mut self, client: Token, session: Session) {
         self.open_ids.insert(session.open().id.clone());
-        if let Some(request_id) = session.request_id() {
-            self.clients_by_request.insert(request_id, client);
-        }
+        self.clients_by_request.insert(session.request_id(), client);
         if let Some(server_connection) = session.server_connection() {
             self.clients_by_server_connection.insert(server_connection, client);
         }
         self.by_client.insert(client, session);
     }
 
-    /// Sets the session's request in the request table.
-    pub(super) fn set_request_id(&mut self, client: Token, request_id: RequestId) {
-        if let Some(session) = self.by_client.get_mut(&client) {
-            session.set_request_id(request_id);
-            self.clients_by_request.insert(request_id, client);
-        }
-    }
-
     /// Records that an attempt of the session's request has started.
     pub(super) fn set_attempt(&mut self, client: Token, server: ServerId, attempt: AttemptState) {
         if let Some(session) = self.by_client.get_mut(&client) {
@@ -102,9 +92,7 @@
     pub(super) fn remove(&mut self, client: Token) -> Option<Session> {
         let session = self.by_client.remove(&client)?;
         self.open_ids.remove(&session.open().id);
-        if let Some(request_id) = session.request_id() {
-            self.clients_by_request.remove(&request_id);
-        }
+        self.clients_by_request.remove(&session.request_id());
         if let Some(server_connection) = session.server_connection() {
             self.clients_by_server_connection.remove(&server_connection);
         }
--- a/src/frontend/text/sessions/tests.rs
+++ b/src/frontend/text/sessions/tests.rs
@@ -18,8 +18,7 @@
 /// A session with a request and an attempt on this connection.
 fn sessions_with_attempt(server_connection: Token) -> Sessions {
     let mut sessions = Sessions::default();
-    sessions.insert(client(), Session::restoring(OpenRequest::for_tests("a"), MonotonicTime::ZERO));
-    sessions.set_request_id(client(), REQUEST);
+    sessions.insert(client(), Session::with_request(OpenRequest::for_tests("a"), REQUEST));
     sessions.set_attempt(client(), ServerId(3), attempt_on(server_connection));
     sessions
 }
@@ -32,7 +31,7 @@
     assert_eq!(sessions.client_of_request(REQUEST), Some(client()));
     assert_eq!(sessions.client_of_server_connection(server_connection), Some(client()));
     let session = sessions.get(client()).expect("a session");
-    assert_eq!((session.request_id(), session.server()), (Some(REQUEST), Some(ServerId(3))));
+    assert_eq!((session.request_id(), session.server()), (REQUEST, Some(ServerId(3))));
 }
 
 #[test]
--- a/src/frontend/text/unresponsive_servers.rs
+++ b/src/frontend/text/unresponsive_servers.rs
@@ -36,7 +36,7 @@
 pub(super) fn migrate_clients(sessions: &mut Sessions, ctx: &mut FrontendContext) {
     let now = ctx.now;
     for OverdueSession { client, .. } in overdue_sessions(sessions, ctx) {
-        let Some(request_id) = sessions.get(client).and_then(Session::request_id) else { continue };
+        let Some(request_id) = sessions.get(client).map(Session::request_id) else { continue };
         tracing::trace!(request = request_id.0, "server does not answer, migrating the client");
         ctx.requests.close_for_migration(now, request_id, Outcome::Reset);
         answer_and_close(sessions, ctx, client, b"MOVE\r\n");
--- a/src/requests/ledger.rs
+++ b/src/requests/ledger.rs
@@ -92,6 +92,37 @@
         id
     }
 
+    /// Adds a session from before this process started, which is being restored. The new id is also written into
+    /// `arrival`.
+    pub fn insert_restoring(
+        &mut self,
+        now: MonotonicTime,
+        frontend: FrontendId,
+        arrival: &mut Arrival,
+    ) -> RequestId {
+        self.open.insert(now, frontend, arrival, RequestState::Restoring)
+    }
+
+    /// Marks a session that was being restored as established. Returns false if it is not being restored.
+    pub fn restore(&mut self, id: RequestId, server: ServerId) -> bool {
+        let restoring = self.open.get_mut(id).filter(|request| request.state == RequestState::Restoring);
+        let Some(request) = restoring else { return false };
+        request.state = RequestState::Established(server);
+        self.counters.resumed += 1;
+        if self.quota_usage.adopt_connection(request.class) {
+            self.open.mark_uses_quota(id);
+        }
+        true
+    }
+
+    /// Closes a session that is not restored. Does nothing if it is not being restored any more.
+    pub fn abandon_restoration(&mut self, now: MonotonicTime, id: RequestId, result: FlowResult) {
+        if self.open.get(id).is_some_and(|request| request.state == RequestState::Restoring) {
+            self.counters.restore_failed += 1;
+            self.close(now, id, None, result);
+        }
+    }
+
     /// Sets the arrival time of a request that another process received.
     pub fn set_started_at(&mut self, id: RequestId, started_at: MonotonicTime) {
         if let Some(request) = self.open.get_mut(id) {
@@ -146,7 +177,7 @@
     ) -> Option<EndedAttempt> {
         let request = self.open.get_mut(id)?;
         match request.state {
-            RequestState::AwaitingAttempt => None,
+            RequestState::Restoring | RequestState::AwaitingAttempt => None,
             RequestState::InFlight(attempt) => {
                 request.state = RequestState::AwaitingAttempt;
                 Some(self.end_in_flight(now, id, attempt, outcome))
@@ -200,6 +231,9 @@
     pub fn disconnect_client(&mut self, now: MonotonicTime, id: RequestId) -> Option<RequestState> {
         let state = self.open.get(id)?.state;
         match state {
+            RequestState::Restoring => {
+                self.abandon_restoration(now, id, FlowResult::ClientDisconnected);
+            }
             RequestState::AwaitingAttempt => {
                 self.counters.client_disconnected += 1;
                 self.close(now, id, None, FlowResult::ClientDisconnected);
@@ -254,7 +288,11 @@
         if request.attempt_in_flight().is_some() {
             self.counters.count_attempt(Outcome::Cancelled);
         }
-        self.counters.failed += 1;
+        if request.state == RequestState::Restoring {
+            self.counters.restore_failed += 1;
+        } else {
+            self.counters.failed += 1;
+        }
         self.close(now, id, None, FlowResult::Failed);
         Some(ended)
     }
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -7,7 +7,7 @@
 //!
 //! The table's state is split in two: `decision_queue` holds the balancer and the events that it has not processed yet;
 //! `ledger` holds the open requests and their accounting (`open_requests`, `quota_usage`, `records`, and the node's
-//! counters).
+//! counters). `restorations` decides on the sessions from before this process started, whose servers are not selected.
 
 mod command;
 mod decision_queue;
@@ -15,6 +15,7 @@
 mod open_requests;
 mod quota_usage;
 mod records;
+mod restorations;
 mod table;
 mod transition;
 
--- a/src/requests/open_requests.rs
+++ b/src/requests/open_requests.rs
@@ -22,6 +22,8 @@
 /// The state of a request between its arrival and its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestState {
+    /// A session from before this process started is being restored. Its frontend makes the attempts.
+    Restoring,
     /// Waiting for its first attempt or a retry.
     AwaitingAttempt,
     /// One attempt is in flight.
@@ -53,7 +55,7 @@
     pub fn attempt_in_flight(&self) -> Option<Attempt> {
         match self.state {
             RequestState::InFlight(attempt) => Some(attempt),
-            RequestState::AwaitingAttempt | RequestState::Established(_) => None,
+            RequestState::Restoring | RequestState::AwaitingAttempt | RequestState::Established(_) => None,
         }
     }
 
--- a/src/requests/table.rs
+++ b/src/requests/table.rs
@@ -7,6 +7,7 @@
 use super::open_requests::{HandedOverConnection, Request, RequestState};
 use super::quota_usage::{QuotaDecision, QuotaRejection};
 use super::records::{AttemptRecord, FlowRecord};
+use super::restorations::Restorations;
 use super::transition::{AttemptPlan, AttemptRefusal};
 use crate::counters::Counters;
 use crate::frontend_id::FrontendId;
@@ -15,10 +16,13 @@
 use crate::rules::{self, PeerStatus, SendInputs, SendRefusal, Violation, ViolationContext, ViolationLog};
 use sparbank_time::MonotonicTime;
 
+mod restoring;
+
 /// The requests of this node and the balancer that decides on them.
 pub struct RequestTable {
     decisions: DecisionQueue,
     ledger: RequestLedger,
+    restorations: Restorations,
     violations: ViolationLog,
 }
 
@@ -31,6 +35,7 @@
         Ok(RequestTable {
             decisions: DecisionQueue::new(seed, settings)?,
             ledger: RequestLedger::default(),
+            restorations: Restorations::new(seed),
             violations: ViolationLog::default(),
         })
     }
@@ -75,19 +80,6 @@
         request_id
     }
 
-    /// Adds a connection that was established before this node started and has been restored at its server, without
-    /// server selection.
-    pub fn restore_established(
-        &mut self,
-        now: MonotonicTime,
-        frontend: FrontendId,
-        arrival: Arrival,
-        server: ServerId,
-    ) -> RequestId {
-        self.ledger.counters_mut().resumed += 1;
-        self.insert_established(now, frontend, arrival, server)
-    }
-
     /// Adds an established connection that the predecessor has handed over.
     pub fn receive_handed_over_connection(
         &mut self,
@@ -131,7 +123,11 @@
     /// # Errors
     /// The reason against sending; the frontend then reports the attempt as [`Outcome::NotSent`].
     pub fn may_send(&self, now: MonotonicTime, id: RequestId, peers: PeerStatus) -> Result<(), SendRefusal> {
-        let attempt = self.ledger.open().get(id).and_then(Request::attempt_in_flight);
+        let request = self.ledger.open().get(id);
+        if let Some(request) = request.filter(|request| request.state == RequestState::Restoring) {
+            return self.may_send_restoring(now, id, request, peers);
+        }
+        let attempt = request.and_then(Request::attempt_in_flight);
         let send_by = attempt.map_or(MonotonicTime::ZERO, |attempt| attempt.send_by);
         let is_current_attempt = attempt.is_some();
         rules::may_send(&SendInputs { now, peers, is_current_attempt, send_by })
@@ -172,6 +168,7 @@
     pub fn on_client_disconnected(&mut self, now: MonotonicTime, id: RequestId) {
         let Some(state) = self.ledger.disconnect_client(now, id) else { return };
         match state {
+            RequestState::Restoring => self.restorations.remove(id),
             RequestState::AwaitingAttempt => self.decisions.push(Event::ClientDisconnected(id)),
             RequestState::InFlight(attempt) => {
                 self.decisions.push(Event::ClientDisconnected(id));
@@ -221,6 +218,7 @@
         for request_id in self.ledger.open().ids_oldest_first(is_due) {
             let Some(ended) = self.ledger.fail_unanswered(now, request_id) else { continue };
             let frontend = ended.frontend;
+            self.restorations.remove(request_id);
             self.decisions.push(Event::ClientDisconnected(request_id));
             if let RequestState::InFlight(attempt) = ended.state {
                 commands.push(Command::CancelAttempt { frontend, request_id });
--- /dev/null
+++ b/src/requests/table/restoring.rs
@@ -0,0 +1,107 @@
+//! The part of the request table for sessions from before this process started, which are restored at their servers.
+
+use super::RequestTable;
+use crate::frontend_id::FrontendId;
+use crate::model::{Arrival, Event, Outcome, RequestClass, RequestId, ServerId, Settings};
+use crate::requests::open_requests::Request;
+use crate::requests::records::FlowResult;
+use crate::requests::restorations::RestoreInputs;
+use crate::rules::{self, PeerStatus, RetryRefusal, SendInputs, SendRefusal};
+use sparbank_time::MonotonicTime;
+use std::time::Duration;
+
+impl RequestTable {
+    /// Adds a session that was established before this process started. Its frontend restores it at its previous
+    /// server, without server selection, and reports each attempt. Returns the id assigned to it.
+    pub fn on_restoration(
+        &mut self,
+        now: MonotonicTime,
+        frontend: FrontendId,
+        mut arrival: Arrival,
+    ) -> RequestId {
+        let id = self.ledger.insert_restoring(now, frontend, &mut arrival);
+        self.restorations.insert(id);
+        id
+    }
+
+    /// Starts an attempt to restore a session, and returns the time within which its connection must be established.
+    ///
+    /// # Errors
+    /// Why the session gets no further attempt. The frontend then gives the final answer.
+    pub fn start_restore_attempt(
+        &mut self,
+        now: MonotonicTime,
+        id: RequestId,
+    ) -> Result<Duration, RetryRefusal> {
+        let request = self.ledger.open().get(id).ok_or(RetryRefusal::AttemptsUsed)?;
+        let inputs = restore_inputs(now, request, self.decisions.balancer().settings());
+        let connect_timeout = self.restorations.start_attempt(id, inputs)?;
+        self.ledger.counters_mut().restore_attempts += 1;
+        Ok(connect_timeout)
+    }
+
+    /// Reports that the request line of an attempt to restore a session is written to the server.
+    pub fn on_restore_attempt_sent(&mut self, now: MonotonicTime, id: RequestId, server: ServerId) {
+        self.restorations.on_sent(now, id, server);
+    }
+
+    /// Reports that an attempt to restore a session has ended, and returns the backoff before the next one. `server` is
+    /// `None` if the endpoint list does not contain the session's server.
+    ///
+    /// # Errors
+    /// Why the session gets no further attempt. The frontend then gives the final answer.
+    pub fn on_restore_attempt_ended(
+        &mut self,
+        now: MonotonicTime,
+        id: RequestId,
+        server: Option<ServerId>,
+        outcome: Outcome,
+    ) -> Result<Duration, RetryRefusal> {
+        let request = self.ledger.open().get(id).ok_or(RetryRefusal::AttemptsUsed)?;
+        let inputs = restore_inputs(now, request, self.decisions.balancer().settings());
+        self.restorations.on_attempt_ended(id, server, outcome, inputs)
+    }
+
+    /// Reports that a server has accepted a session that was being restored.
+    pub fn on_restored(&mut self, id: RequestId, arrival: Arrival, server: ServerId) {
+        self.restorations.remove(id);
+        if self.ledger.restore(id, server) {
+            self.decisions.push(Event::Resumed(Arrival { id, ..arrival }, server));
+        }
+    }
+
+    /// Whether a client whose session is not restored may send its request again without a risk of running it twice.
+    pub fn may_reject_restoration(&self, id: RequestId) -> bool {
+        let Some(request) = self.ledger.open().get(id) else { return false };
+        let class = class_of(request, self.decisions.balancer().settings());
+        self.restorations.may_reject(id, class)
+    }
+
+    /// Closes a session that is not restored. Its frontend sends the final answer.
+    pub fn abandon_restoration(&mut self, now: MonotonicTime, id: RequestId, result: FlowResult) {
+        self.restorations.remove(id);
+        self.ledger.abandon_restoration(now, id, result);
+    }
+
+    /// A session being restored returns to its previous server, whatever the server's lifecycle state.
+    pub(super) fn may_send_restoring(
+        &self,
+        now: MonotonicTime,
+        id: RequestId,
+        request: &Request,
+        peers: PeerStatus,
+    ) -> Result<(), SendRefusal> {
+        let inputs = restore_inputs(now, request, self.decisions.balancer().settings());
+        let send_by = self.restorations.send_by(id, inputs);
+        let peers = PeerStatus { server_ready: true, ..peers };
+        rules::may_send(&SendInputs { now, peers, is_current_attempt: true, send_by })
+    }
+}
+
+fn restore_inputs<'a>(now: MonotonicTime, request: &Request, settings: &'a Settings) -> RestoreInputs<'a> {
+    RestoreInputs { now, deadline: request.deadline, class: class_of(request, settings), settings }
+}
+
+fn class_of<'a>(request: &Request, settings: &'a Settings) -> &'a RequestClass {
+    &settings.classes[request.class.min(settings.classes.len() - 1)]
+}
--- a/src/requests/tests.rs
+++ b/src/requests/tests.rs
@@ -250,7 +250,8 @@
 #[test]
 fn disabled_records_are_not_collected() {
     let mut requests = RequestTable::new(42, settings()).expect("valid settings");
-    let id = requests.restore_established(START, FRONTEND, arrival(), SERVER);
+    let id = requests.on_restoration(START, FRONTEND, arrival());
+    requests.on_restored(id, arrival(), SERVER);
     requests.on_attempt_ended(START + SECOND, id, Outcome::Ok);
     assert_eq!(requests.take_flow_records(), []);
     assert_eq!(requests.take_attempt_records(), []);
--- a/src/resilience/mod.rs
+++ b/src/resilience/mod.rs
@@ -17,7 +17,7 @@
 mod server_health;
 mod slow_start;
 
-pub use backoff::request_backoff_limit;
+pub use backoff::{full_jitter_limit, request_backoff_limit};
 pub use connection_value::{connection_value, least_valuable, Connection};
 pub use endpoint_subscription::{EndpointSubscription, ScheduledPoll};
 pub use fleet_limits::FleetLimits;
