Let a restored session wait for a descriptor instead of rejecting it

What callers saw: BUSY 500 at once for a session that a client restores while descriptors are short; the protocol gives it 40 s.

Cause: the check before a start refused it like a request, which may come again.

Change: `may_start` does not refuse a restored session for a descriptor; its attempt ends as LocalShortage, and is made again after a backoff.

Evidence: restored_sessions_are_rejected_while_descriptors_are_short failed before (no attempt arrived, the client had BUSY 500) and passes now.

--- a/src/rules/start.rs
+++ b/src/rules/start.rs
@@ -5,7 +5,7 @@
 pub struct StartInputs {
     /// The process is about to exit and could not forward the answer any more.
     pub is_closing: bool,
-    /// The client restores a session from before this process started, for which no server is selected.
+    /// The client restores a session from before this process started. It waits until its attempt can be made.
     pub is_restored: bool,
     /// The client has sent more than the request line.
     pub has_more_input: bool,
@@ -46,7 +46,7 @@
     if inputs.is_closing && !inputs.is_restored {
         return Err(StartRefusal::Closing);
     }
-    if !inputs.has_descriptor {
+    if !inputs.has_descriptor && !inputs.is_restored {
         return Err(StartRefusal::NoDescriptor);
     }
     Ok(())
--- a/src/rules/tests.rs
+++ b/src/rules/tests.rs
@@ -66,6 +66,7 @@
 #[case(StartInputs { is_closing: true, ..start_inputs() }, Err(StartRefusal::Closing))]
 #[case(StartInputs { is_closing: true, is_restored: true, ..start_inputs() }, Ok(()))]
 #[case(StartInputs { has_descriptor: false, ..start_inputs() }, Err(StartRefusal::NoDescriptor))]
+#[case(StartInputs { has_descriptor: false, is_restored: true, ..start_inputs() }, Ok(()))]
 fn a_request_is_started_only_if_it_can_be_answered(
     #[case] inputs: StartInputs,
     #[case] expected: Result<(), StartRefusal>,
--- a/tests/session_restoration.rs
+++ b/tests/session_restoration.rs
@@ -187,3 +187,19 @@
     drop(client);
     serving.join().expect("the session has ended");
 }
+
+#[test]
+fn restored_sessions_are_rejected_while_descriptors_are_short() {
+    let mut node = TestNode::start(PROGRAM, 1);
+    // With a limit of 20 sockets, none is left for a client.
+    node.reconfigure(|config| config.replace(r#""sockets":256"#, r#""sockets":20"#));
+    node.wait_for_log("configuration reloaded");
+    assert_eq!(node.connect_client(&request_line(1)).read_line(), "BUSY 500", "a request is rejected");
+    let mut client = node.connect_client(&restoring_line(0, None));
+    thread::sleep(SETTLE_TIME);
+    node.reconfigure(str::to_string);
+    let mut attempt = accept_line(&node.servers[0]);
+    attempt.send("UP r1\r\n");
+    assert_eq!(client.read_line(), "UP r1");
+    assert!(node.counter("restore_attempts") > 1, "the first attempt had no descriptor");
+}
