Give up a restored session's first line for one more attempt before the deadline

What callers saw: a session whose first line the server never answers, on a connection that stays open (a machine that was cut off for a moment, a process that lost it), got its final answer at 40 s although the server had recovered.

Cause: an attempt that was sent lasted until the deadline.

Change: if the class is read-like and an attempt is left, the attempt ends 5 s before the deadline, so that an answer that comes late (30 s) still counts, and one more attempt is made. What has arrived is read before an attempt ends. Attempts take their descriptors by evicting idle connections, as requests do.

--- a/src/frontend/text/attempt.rs
+++ b/src/frontend/text/attempt.rs
@@ -8,6 +8,7 @@
 use crate::frontend::{FrontendContext, TimerEvent, TEXT_FRONTEND};
 use crate::model::{Outcome, RequestId, ServerId};
 use crate::net::{ConnectError, SocketOwner, Token};
+use crate::requests::AttemptTimeouts;
 use crate::rules::{PeerStatus, SendRefusal};
 use std::time::Duration;
 
@@ -32,7 +33,7 @@
     } else if !ctx.net.has_descriptor_for_attempt() {
         Err(Outcome::LocalShortage)
     } else {
-        let timeouts = Timeouts { connect: ctx.settings.dial_timeout, answer: timeout };
+        let timeouts = AttemptTimeouts { connect: ctx.settings.dial_timeout, answer: timeout };
         connect(sessions, ctx, client, server, timeouts)
     };
     if let Err(outcome) = result {
@@ -40,15 +41,6 @@
     }
 }
 
-/// The time limits of an attempt, from its start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Timeouts {
-    /// The time for establishing the connection.
-    pub(super) connect: Duration,
-    /// The time until the server has answered.
-    pub(super) answer: Duration,
-}
-
 /// Starts connecting to a server. The request line is sent once the connection is established ([`send_request`]).
 ///
 /// # Errors
@@ -58,7 +50,7 @@
     ctx: &mut FrontendContext,
     client: Token,
     server: ServerId,
-    timeouts: Timeouts,
+    timeouts: AttemptTimeouts,
 ) -> Result<(), Outcome> {
     if !sessions.contains(client) {
         return Ok(());
--- a/src/frontend/text/mod.rs
+++ b/src/frontend/text/mod.rs
@@ -117,9 +117,9 @@
 
     fn on_restoration_timer(&mut self, ctx: &mut FrontendContext, client: Token, due: DueWork) {
         match due {
-            DueWork::FinalAnswer => {
+            DueWork::AnswerOverdue => {
                 self.read_first_answer(ctx, client);
-                restoration::on_deadline(&mut self.sessions, ctx, client);
+                restoration::on_answer_overdue(&mut self.sessions, ctx, client);
             }
             DueWork::Retry => restoration::retry(&mut self.sessions, ctx, client),
             DueWork::Nothing => {}
@@ -282,7 +282,7 @@
         }
     }
 
-    /// Handles the timers of this frontend: the time-out of a health check, the deadline and the backoff of a session
+    /// Handles the timers of this frontend: the time-out of a health check, the deadlines and the backoff of a session
     /// being restored, and the time-out of a connection that its client has half-closed.
     fn on_timer(&mut self, ctx: &mut FrontendContext, token: Token) {
         if self.health_checks.has_timed_out(token, ctx.now) {
@@ -291,7 +291,7 @@
         let Some(session) = self.sessions.get(token) else { return };
         match session.restoration() {
             Some(restoration) => {
-                let due = restoration::due_work(restoration, ctx.now);
+                let due = restoration::due_work(restoration, session.attempt(), ctx.now);
                 self.on_restoration_timer(ctx, token, due);
             }
             None => on_half_closed_timeout(&mut self.sessions, ctx, token),
--- a/src/frontend/text/restoration.rs
+++ b/src/frontend/text/restoration.rs
@@ -5,13 +5,13 @@
 //! by another one. This module makes the attempts, and gives the final answer if the session is not restored.
 
 use super::attempt;
-use super::session::{arrival, Session};
+use super::session::{arrival, AttemptState, Session};
 use super::session_end::{self, answer_and_close, ConnectionEnd};
 use super::sessions::Sessions;
 use crate::frontend::{FrontendContext, TimerEvent, ANSWER_MARGIN, TEXT_FRONTEND};
 use crate::model::{Outcome, RequestId, ServerId};
 use crate::net::Token;
-use crate::requests::FlowResult;
+use crate::requests::{AttemptTimeouts, FlowResult};
 use crate::rules::RetryRefusal;
 use rustix::io::Errno;
 use sparbank_time::{DurationExt, MonotonicTime};
@@ -90,8 +90,8 @@
 fn start_attempt(sessions: &mut Sessions, ctx: &mut FrontendContext, client: Token) {
     let Some(session) = sessions.get_mut(client) else { return };
     let request_id = session.request_id();
-    let connect_timeout = match ctx.requests.start_restore_attempt(ctx.now, request_id) {
-        Ok(connect_timeout) => connect_timeout,
+    let timeouts = match ctx.requests.start_restore_attempt(ctx.now, request_id) {
+        Ok(timeouts) => timeouts,
         Err(refusal) => {
             return fail(sessions, ctx, client, RestorationFailure::NoFurtherAttempt(refusal));
         }
@@ -100,7 +100,7 @@
         restoration.attempts += 1;
         restoration.retry_at = None;
     }
-    if let Err(outcome) = connect(sessions, ctx, client, connect_timeout) {
+    if let Err(outcome) = connect(sessions, ctx, client, timeouts) {
         on_attempt_end(sessions, ctx, client, FailedAttempt { outcome, line_sent: false, error: None });
     }
 }
@@ -109,23 +109,17 @@
     sessions: &mut Sessions,
     ctx: &mut FrontendContext,
     client: Token,
-    connect_timeout: Duration,
+    timeouts: AttemptTimeouts,
 ) -> Result<(), Outcome> {
     let Some(session) = sessions.get(client) else { return Ok(()) };
     // The endpoint list may not contain the server yet, or may list it again under another id.
     let server = listed_server(ctx, session).ok_or(Outcome::NotSent)?;
-    if !ctx.net.has_descriptor_for_attempt() {
+    if !ctx.net.reclaim_descriptors() {
         return Err(Outcome::LocalShortage);
     }
-    let answer_by = session.restoration().map_or(ctx.now, |restoration| restoration.answer_by);
-    let timeout = answer_by.saturating_duration_since(ctx.now);
-    attempt::connect(
-        sessions,
-        ctx,
-        client,
-        server,
-        attempt::Timeouts { connect: connect_timeout, answer: timeout },
-    )
+    attempt::connect(sessions, ctx, client, server, timeouts)?;
+    ctx.wheel.schedule(ctx.now + timeouts.answer, TimerEvent::FrontendTimer(TEXT_FRONTEND, client));
+    Ok(())
 }
 
 fn listed_server(ctx: &FrontendContext, session: &Session) -> Option<ServerId> {
@@ -157,8 +151,8 @@
 /// The work that is due for a session when its timer elapses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum DueWork {
-    /// The client must be sent its final answer, unless the server's answer has arrived.
-    FinalAnswer,
+    /// The client's deadline is about to pass, or the attempt has had no answer in its time.
+    AnswerOverdue,
     /// The next attempt starts.
     Retry,
     /// Nothing: the timer is that of an earlier state.
@@ -166,9 +160,14 @@
 }
 
 /// Returns what is due for a session that is being restored.
-pub(super) fn due_work(restoration: &Restoration, now: MonotonicTime) -> DueWork {
-    if now >= restoration.answer_by {
-        DueWork::FinalAnswer
+pub(super) fn due_work(
+    restoration: &Restoration,
+    attempt: Option<&AttemptState>,
+    now: MonotonicTime,
+) -> DueWork {
+    let is_attempt_overdue = attempt.is_some_and(|attempt| now >= attempt.deadline);
+    if now >= restoration.answer_by || is_attempt_overdue {
+        DueWork::AnswerOverdue
     } else if restoration.retry_at.is_some_and(|retry_at| now >= retry_at) {
         DueWork::Retry
     } else {
@@ -176,17 +175,23 @@
     }
 }
 
-/// Ends the restoration of a session whose client's deadline is about to pass, unless it has been restored meanwhile.
-pub(super) fn on_deadline(sessions: &mut Sessions, ctx: &mut FrontendContext, client: Token) {
-    let Some(session) = sessions.get(client).filter(|session| session.restoration().is_some()) else {
-        return;
-    };
-    let Some(attempt) = session.attempt() else {
-        let failure = RestorationFailure::NoFurtherAttempt(RetryRefusal::DeadlinePassed);
-        return fail(sessions, ctx, client, failure);
-    };
-    let outcome = if attempt.is_line_written(ctx) { Outcome::Timeout } else { Outcome::ConnectFailed };
-    session_end::on_attempt_end(sessions, ctx, client, outcome, ConnectionEnd::Reset);
+/// Ends an attempt that has had no answer in its time, and a restoration whose client's deadline is about to pass. What
+/// has arrived from the server has been handled before, which may have ended either.
+pub(super) fn on_answer_overdue(sessions: &mut Sessions, ctx: &mut FrontendContext, client: Token) {
+    let Some(session) = sessions.get(client) else { return };
+    let Some(restoration) = session.restoration() else { return };
+    match session.attempt() {
+        Some(attempt) if ctx.now >= attempt.deadline => {
+            let outcome =
+                if attempt.is_line_written(ctx) { Outcome::Timeout } else { Outcome::ConnectFailed };
+            session_end::on_attempt_end(sessions, ctx, client, outcome, ConnectionEnd::Reset);
+        }
+        None if ctx.now >= restoration.answer_by => {
+            let failure = RestorationFailure::NoFurtherAttempt(RetryRefusal::DeadlinePassed);
+            fail(sessions, ctx, client, failure);
+        }
+        Some(_) | None => {}
+    }
 }
 
 /// Starts the next attempt.
--- a/src/requests/mod.rs
+++ b/src/requests/mod.rs
@@ -24,6 +24,7 @@
 pub use open_requests::HandedOverConnection;
 pub use records::{AttemptStep, FlowRecord, FlowResult};
 pub use table::RequestTable;
+pub use transition::AttemptTimeouts;
 
 #[cfg(test)]
 mod tests;
--- a/src/requests/restorations.rs
+++ b/src/requests/restorations.rs
@@ -2,7 +2,8 @@
 //! no server is selected for it and the balancer learns of it once the server has accepted it. Whether and when a failed
 //! attempt is followed by another one is decided here, by the rules for all attempts.
 
-use crate::model::{Outcome, RequestClass, RequestId, ServerId, Settings};
+use super::transition::AttemptTimeouts;
+use crate::model::{Effect, Outcome, RequestClass, RequestId, ServerId, Settings};
 use crate::random::{mix64, uniform_duration_up_to, Rng};
 use crate::resilience::{full_jitter_limit, AttemptHistory};
 use crate::rules::{self, RetryInputs, RetryRefusal};
@@ -20,6 +21,8 @@
 /// The upper limit of the time for establishing a connection. It is longer than for requests, since there is no other
 /// server.
 const MAX_CONNECT_TIMEOUT: Duration = Duration::from_secs(4);
+/// The time for the last attempt, after one that the server has not answered.
+const LAST_ATTEMPT_TIME: Duration = Duration::from_secs(5);
 /// Limits the shift of the share of the time left, which is well under the duration of an attempt then.
 const MAX_SHARE_EXPONENT: u32 = 16;
 
@@ -66,7 +69,7 @@
         self.by_id.remove(&id);
     }
 
-    /// Starts an attempt, and returns the time within which its connection must be established.
+    /// Starts an attempt.
     ///
     /// # Errors
     /// Why the session gets no further attempt.
@@ -74,13 +77,15 @@
         &mut self,
         id: RequestId,
         inputs: RestoreInputs<'_>,
-    ) -> Result<Duration, RetryRefusal> {
+    ) -> Result<AttemptTimeouts, RetryRefusal> {
         let attempts = self.by_id.entry(id).or_default();
         attempts.may_attempt(inputs)?;
         attempts.is_sent = false;
         attempts.started += 1;
         let dial_timeout = inputs.settings.dial_timeout;
-        Ok(full_jitter_limit(dial_timeout, MAX_CONNECT_TIMEOUT, attempts.started - 1).max(dial_timeout))
+        let connect = full_jitter_limit(dial_timeout, MAX_CONNECT_TIMEOUT, attempts.started - 1);
+        let answer = attempts.answer_by(inputs).saturating_duration_since(inputs.now);
+        Ok(AttemptTimeouts { connect: connect.max(dial_timeout), answer })
     }
 
     /// The time before which the request line of the attempt must be written to the server.
@@ -132,6 +137,20 @@
         rules::may_retry(&RetryInputs { now, deadline, attempts, class, misses_deadline: false }, settings)
     }
 
+    /// When an attempt without an answer ends. The server may answer late, so that there is time for one more attempt
+    /// at the end only.
+    fn answer_by(&self, inputs: RestoreInputs<'_>) -> MonotonicTime {
+        let RestoreInputs { now, deadline, class, settings } = inputs;
+        let may_be_repeated =
+            class.effect == Effect::ReadLike && self.sent.count() + 1 < settings.max_attempts;
+        let last_attempt_at = deadline - LAST_ATTEMPT_TIME;
+        if may_be_repeated && now < last_attempt_at {
+            last_attempt_at
+        } else {
+            deadline
+        }
+    }
+
     /// The upper limit of the backoff. Attempts that were sent are few, so they are spread over the time that is left.
     fn backoff_limit(&self, inputs: RestoreInputs<'_>) -> Duration {
         let RestoreInputs { now, deadline, class, settings } = inputs;
--- a/src/requests/restorations/tests.rs
+++ b/src/requests/restorations/tests.rs
@@ -1,4 +1,4 @@
-use super::{Restorations, RestoreInputs, MAX_CONNECT_TIMEOUT, UNSENT_BACKOFF_CAP};
+use super::{Restorations, RestoreInputs, LAST_ATTEMPT_TIME, MAX_CONNECT_TIMEOUT, UNSENT_BACKOFF_CAP};
 use crate::model::{DedupScope, Effect, Outcome, RequestClass, RequestId, ServerId, Settings};
 use crate::rules::RetryRefusal;
 use rstest::rstest;
@@ -83,7 +83,7 @@
 fn the_time_for_connecting_doubles_up_to_a_limit() {
     let settings = settings(Effect::ReadLike);
     let mut restorations = restorations();
-    let mut start = || restorations.start_attempt(ID, inputs(&settings, START)).expect("an attempt");
+    let mut start = || restorations.start_attempt(ID, inputs(&settings, START)).expect("an attempt").connect;
     let timeouts: Vec<Duration> = (0..6).map(|_| start()).collect();
     let doubled = [1, 2, 4, 8, 16].map(|factor| factor * DIAL_TIMEOUT);
     assert_eq!(timeouts[..5], doubled);
@@ -127,3 +127,18 @@
     let late = restorations.start_attempt(ID, inputs(&settings, START + DEDUP_WINDOW));
     assert_eq!(late, Err(RetryRefusal::MayHaveRun));
 }
+
+#[rstest]
+#[case(Effect::ReadLike, Duration::ZERO, TIME - LAST_ATTEMPT_TIME)]
+#[case(Effect::ReadLike, TIME - LAST_ATTEMPT_TIME, LAST_ATTEMPT_TIME)]
+#[case(Effect::IdempotencyKey, Duration::ZERO, TIME)]
+#[case(Effect::NonIdempotent, Duration::ZERO, TIME)]
+fn an_attempt_without_an_answer_leaves_time_for_one_more_if_that_is_harmless(
+    #[case] effect: Effect,
+    #[case] after: Duration,
+    #[case] expected: Duration,
+) {
+    let settings = settings(effect);
+    let started = restorations().start_attempt(ID, inputs(&settings, START + after)).expect("an attempt");
+    assert_eq!(started.answer, expected);
+}
--- a/src/requests/table/restoring.rs
+++ b/src/requests/table/restoring.rs
@@ -6,6 +6,7 @@
 use crate::requests::open_requests::Request;
 use crate::requests::records::FlowResult;
 use crate::requests::restorations::RestoreInputs;
+use crate::requests::transition::AttemptTimeouts;
 use crate::rules::{self, PeerStatus, RetryRefusal, SendInputs, SendRefusal};
 use sparbank_time::MonotonicTime;
 use std::time::Duration;
@@ -24,7 +25,7 @@
         id
     }
 
-    /// Starts an attempt to restore a session, and returns the time within which its connection must be established.
+    /// Starts an attempt to restore a session.
     ///
     /// # Errors
     /// Why the session gets no further attempt. The frontend then gives the final answer.
@@ -32,12 +33,12 @@
         &mut self,
         now: MonotonicTime,
         id: RequestId,
-    ) -> Result<Duration, RetryRefusal> {
+    ) -> Result<AttemptTimeouts, RetryRefusal> {
         let request = self.ledger.open().get(id).ok_or(RetryRefusal::AttemptsUsed)?;
         let inputs = restore_inputs(now, request, self.decisions.balancer().settings());
-        let connect_timeout = self.restorations.start_attempt(id, inputs)?;
+        let timeouts = self.restorations.start_attempt(id, inputs)?;
         self.ledger.counters_mut().restore_attempts += 1;
-        Ok(connect_timeout)
+        Ok(timeouts)
     }
 
     /// Reports that the request line of an attempt to restore a session is written to the server.
--- a/src/requests/transition.rs
+++ b/src/requests/transition.rs
@@ -17,6 +17,15 @@
     pub send_by: MonotonicTime,
 }
 
+/// The time limits of an attempt, from its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptTimeouts {
+    /// The time for establishing the connection.
+    pub connect: Duration,
+    /// The time until the server has answered.
+    pub answer: Duration,
+}
+
 /// An attempt that has been started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StartedAttempt {
--- a/tests/session_restoration.rs
+++ b/tests/session_restoration.rs
@@ -41,9 +41,11 @@
     TruncatesAnswer,
     /// The line is answered after this time.
     AnswersLate(Duration),
+    /// The first line is never answered, and its connection stays open.
+    ForgetsFirstLine,
 }
 
-const FAULTS: [Fault; 11] = [
+const FAULTS: [Fault; 12] = [
     Fault::Refuses(Duration::from_millis(1_500)),
     Fault::ComesUpLate(Duration::from_millis(300)),
     Fault::ComesUpLate(Duration::from_millis(1_500)),
@@ -55,6 +57,7 @@
     Fault::TruncatesAnswer,
     Fault::AnswersLate(Duration::from_secs(5)),
     Fault::AnswersLate(Duration::from_secs(30)),
+    Fault::ForgetsFirstLine,
 ];
 
 /// A request line that restores a session at a server.
@@ -70,7 +73,8 @@
 /// Accepts connections up to the first that brings a line.
 fn accept_line(server: &TcpListener) -> Peer {
     loop {
-        let mut attempt = Peer::accept(server);
+        // Blocks without a time-out: the client's read ends a test in which no connection arrives.
+        let mut attempt = Peer::new(server.accept().expect("failed to accept").0);
         if !attempt.read_line().is_empty() {
             return attempt;
         }
@@ -100,6 +104,13 @@
         Fault::Fails => drop(accept_line(server).send("ERR\r\n")),
         Fault::SpoilsAnswer => drop(accept_line(server).send("\u{1}P r1\r\n")),
         Fault::TruncatesAnswer => drop(accept_line(server).send("UP r")),
+        Fault::ForgetsFirstLine => {
+            let mut forgotten = accept_line(server);
+            let mut attempt = accept_line(server);
+            assert_eq!(forgotten.read_line(), "", "the first attempt has ended before the second one begins");
+            attempt.send("UP r1\r\n");
+            return attempt;
+        }
         Fault::AnswersLate(duration) => {
             let mut attempt = accept_line(server);
             thread::sleep(duration);
