Add a family of soak schedules in which clients restore sessions

Change: a third family, `restorations`: half of the clients restore sessions (`at=`), from the nodes' first start on and after each restart, beside faults of the servers from 0 ms on, restarts by series of signals, kills, any third fault, and in one run of three a burst of connections. The checker knows restored sessions: only their own server may get them, they have their own time, and an answer other than UP is `lost` unless all attempts were used, the last one was never answered, the class forbids another, or the process was told to end.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -2,12 +2,14 @@
 //! `session` has what they do once a server has accepted them.
 
 use crate::node::Nodes;
-use crate::request::{class_name, DEADLINE};
+use crate::request::{class_name, DEADLINE, MAX_ATTEMPTS, RESTORATION_DEADLINE, RESTORED_WITHIN};
 use crate::schedule::Family;
 use crate::server::Servers;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use sparbank_test_support::invariants::{Answer, InvariantChecker, RetrySafety, Rule, SentRequest};
+use sparbank_test_support::invariants::{
+    Answer, InvariantChecker, RestoredSession, RetrySafety, Rule, SentRequest,
+};
 use sparbank_test_support::loopback::{has_peer_closed, reset_on_drop};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -68,6 +70,8 @@
     Persistent,
     /// Rests on the open connection before its request, sometimes after a health check of the node.
     Resting,
+    /// Restores a session at a server, and leaves it after a random time.
+    Restoring,
 }
 
 impl Habit {
@@ -77,6 +81,8 @@
             (Family::Faults, _) => Habit::Ordinary,
             (Family::Shutdowns, 0) => Habit::Persistent,
             (Family::Shutdowns, _) => Habit::Resting,
+            (Family::Restorations, 0) => Habit::Restoring,
+            (Family::Restorations, _) => Habit::Persistent,
         }
     }
 }
@@ -186,19 +192,15 @@
         self.requests += 1;
         let id = format!("{:x}", (self.number << 24) | self.requests);
         let safety = RETRY_SAFETIES[self.rng.random_range(0..RETRY_SAFETIES.len())];
-        let line = format!(
-            "OPEN {id} {:x} c={},t=acme,d={},g=5c{:x}\r\n",
-            self.number,
-            class_name(safety),
-            DEADLINE.as_millis(),
-            self.number
-        );
+        let restored = self.draw_restored_session();
+        let line = self.request_line(&id, safety, restored);
         let (read, mut write) = stream.into_split();
         if !self.write_line(&mut write, &line).await {
             return;
         }
         let sent_at = Instant::now();
-        self.checker.borrow_mut().on_request(SentRequest { id: &id, node, incarnation, safety, line: &line });
+        let request = SentRequest { id: &id, node, incarnation, safety, line: &line, restored };
+        self.checker.borrow_mut().on_request(request);
         let mut read = BufReader::new(read);
         let is_fault = self.behaviour.disconnect.get();
         let probability = if is_fault { FAULT_DISCONNECT_PROBABILITY } else { DISCONNECT_PROBABILITY };
@@ -206,7 +208,8 @@
             return self.disconnect(&id, read, write).await;
         }
         let mut text = String::new();
-        let answer = match read_answer(&mut read, &mut text).await {
+        let wait = restored.map_or(ANSWER_TIMEOUT, |session| session.answer_within + ANSWER_TIMEOUT);
+        let answer = match read_answer(&mut read, &mut text, wait).await {
             Ok(answer) => answer,
             Err(reason) => {
                 let reason = format!("{reason} after {:?}", sent_at.elapsed());
@@ -224,6 +227,29 @@
         }
     }
 
+    /// The session that the client restores with its next request, if that is its habit.
+    fn draw_restored_session(&mut self) -> Option<RestoredSession> {
+        (self.habit == Habit::Restoring).then(|| RestoredSession {
+            server: self.rng.random_range(0..self.servers.len()),
+            answer_within: RESTORED_WITHIN,
+            max_attempts: MAX_ATTEMPTS,
+        })
+    }
+
+    fn request_line(&self, id: &str, safety: RetrySafety, restored: Option<RestoredSession>) -> String {
+        let (deadline, server) = match restored {
+            Some(session) => (RESTORATION_DEADLINE, format!(",at=s-{}", session.server)),
+            None => (DEADLINE, String::new()),
+        };
+        format!(
+            "OPEN {id} {:x} c={},t=acme,d={},g=5c{:x}{server}\r\n",
+            self.number,
+            class_name(safety),
+            deadline.as_millis(),
+            self.number
+        )
+    }
+
     /// Writes a line, sometimes in two parts with a pause between them. Returns whether all of it was written.
     async fn write_line(&mut self, write: &mut OwnedWriteHalf, line: &str) -> bool {
         let split_at =
@@ -257,8 +283,12 @@
 }
 
 /// Reads a final answer, or describes why none has arrived.
-async fn read_answer(read: &mut BufReader<OwnedReadHalf>, text: &mut String) -> Result<Answer, String> {
-    match timeout(ANSWER_TIMEOUT, read.read_line(text)).await {
+async fn read_answer(
+    read: &mut BufReader<OwnedReadHalf>,
+    text: &mut String,
+    wait: Duration,
+) -> Result<Answer, String> {
+    match timeout(wait, read.read_line(text)).await {
         Err(_) => Err("no answer".to_string()),
         Ok(Ok(count)) if count > 0 && text.ends_with('\n') => Ok(match text.split([' ', '\r']).next() {
             Some("UP") => Answer::Up,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,7 +3,8 @@
 //! One run ([`run`]) starts several nodes of the program under test, and simulates discovery, servers and clients in one
 //! thread. Its [`Schedule`] of faults is derived from its [`Family`] and its seed: each round has an ordered pair of faults,
 //! separated by an interval close to one of the node's time constants, and a third fault at a random time; or the shutdowns of
-//! two nodes by series of signals, beside another fault. The
+//! two nodes by series of signals, beside another fault; or faults of the servers and restarts of nodes, while clients restore
+//! the sessions that they had. The
 //! [`InvariantChecker`](sparbank_test_support::invariants::InvariantChecker) records what clients, servers and discovery
 //! observe, and reports each rule that is broken. [`minimize`] reduces a failing schedule.
 
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -1,7 +1,7 @@
 //! The processes of the program under test: their starts, signals, limits and exits.
 
 use crate::discovery::Discovery;
-use crate::request::{class_name, DEADLINE, DEDUP_WINDOW};
+use crate::request::{class_name, DEADLINE, DEDUP_WINDOW, MAX_ATTEMPTS};
 use crate::Options;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
@@ -170,7 +170,7 @@
         let config = format!(
             r#"{{"name":"n{number}","listen":"{}","discovery":"{}","seed":"{:x}","limits":{{"sockets":{DESCRIPTORS}}},"known":{},
             "settings":{{"Profiles":[{}],"Discovery":"ask","Zones":["a"],"Instances":{},
-            "Limits":{{"MaxAttempts":3,"MayCancel":true,"RetryAfter":true,"MaxRetryAfterNs":600000000,"DialTimeoutNs":250000000}},
+            "Limits":{{"MaxAttempts":{MAX_ATTEMPTS},"MayCancel":true,"RetryAfter":true,"MaxRetryAfterNs":600000000,"DialTimeoutNs":250000000}},
             "Rules":{{"AskWithinNs":10000000000,"ColdFrom":0.12,"ColdNs":10000000000,"FallMultiple":3.0,"TipAfterNs":2000000000,"StopSendingWithinNs":250000000}}}}}}"#,
             self.nodes[number].address,
             self.discovery.address(number),
--- a/crates/soak/src/request.rs
+++ b/crates/soak/src/request.rs
@@ -5,6 +5,10 @@
 
 /// The deadline of every request, as its request line states it.
 pub const DEADLINE: Duration = Duration::from_millis(1_000);
+/// The deadline of a line that restores a session.
+pub const RESTORATION_DEADLINE: Duration = Duration::from_millis(8_000);
+/// The number of attempts that the settings of the nodes allow for a request.
+pub const MAX_ATTEMPTS: usize = 3;
 /// For this long, servers discard retries of requests with an idempotency key.
 pub const DEDUP_WINDOW: Duration = Duration::from_millis(600);
 /// A request without an answer this long after its deadline counts as lost.
@@ -19,6 +23,10 @@
     min_lateness: Duration::from_millis(10),
 };
 
+/// Time within which a restored session is up, or has its final answer.
+pub const RESTORED_WITHIN: Duration =
+    Duration::from_millis((RESTORATION_DEADLINE.as_millis() + SOCKET_SLACK.as_millis()) as u64);
+
 /// The name, in the settings of the nodes, of the class with this retry safety.
 pub fn class_name(safety: RetrySafety) -> &'static str {
     match safety {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -98,8 +98,22 @@
     /// Shutdowns of several nodes beside other faults. Clients keep their sessions until the nodes end them, and rest on
     /// open connections before their requests.
     Shutdowns,
+    /// Clients restore sessions, from the nodes' first start on and after each restart, beside faults of the servers and
+    /// restarts of the nodes.
+    Restorations,
 }
 
+/// The faults of servers and of descriptors that a restoration may meet.
+const RESTORATION_FAULTS: [Fault; 7] = [
+    Fault::ServerRefuses,
+    Fault::ServersHang,
+    Fault::ServersReject,
+    Fault::ServersReset,
+    Fault::ServersTruncate,
+    Fault::ServersLate,
+    Fault::DescriptorShortage,
+];
+
 /// The faults of [`Family::Faults`]. Their order determines the numbers of pairs, and with them the schedule of each seed.
 pub const FAULTS: [Fault; 26] = [
     Fault::Terminate,
@@ -187,6 +201,7 @@
         match family {
             Family::Faults => Schedule::for_seed(seed),
             Family::Shutdowns => Schedule::of_shutdowns(seed),
+            Family::Restorations => Schedule::of_restorations(seed),
         }
     }
 
@@ -243,6 +258,37 @@
         Schedule { family: Family::Shutdowns, seed, faults }
     }
 
+    /// Creates a schedule of [`Family::Restorations`]: a fault of the servers from the start on and in each round, a
+    /// restart of a node shortly before or after it, and any third fault. One run in three has a burst of connections.
+    fn of_restorations(seed: u64) -> Schedule {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut faults = Vec::new();
+        let mut add = |at_ms, fault, target| faults.push(ScheduledFault { at_ms, fault, target });
+        for round in 0..ROUNDS {
+            let start = if round == 0 { 0 } else { FIRST_ROUND_MS + round * ROUND_INTERVAL_MS };
+            let number = seed.wrapping_mul(ROUNDS).wrapping_add(round) as usize;
+            let interval = FAULT_INTERVALS_MS[rng.random_range(0..FAULT_INTERVALS_MS.len())];
+            add(start, RESTORATION_FAULTS[number % RESTORATION_FAULTS.len()], rng.random());
+            let restart = match rng.random_range(0..=SERIES.len()) {
+                index if index < SERIES.len() => Fault::ShutDown(SERIES[index]),
+                _ => Fault::Kill,
+            };
+            let node: u64 = rng.random();
+            add(start + interval, restart, node);
+            let third = FAULTS[rng.random_range(0..FAULTS.len())];
+            add(start + rng.random_range(0..THIRD_FAULT_MS), third, rng.random());
+            if seed.is_multiple_of(CONNECTION_BURST_PERIOD) && round == 1 {
+                add(
+                    start.saturating_sub(rng.random_range(0..CONNECTION_BURST_LEAD_MS)),
+                    Fault::ConnectionBurst,
+                    node,
+                );
+            }
+        }
+        faults.sort_by_key(|scheduled| scheduled.at_ms);
+        Schedule { family: Family::Restorations, seed, faults }
+    }
+
     /// End of the last round, in milliseconds from the start of the run.
     pub fn end_ms(&self) -> u64 {
         FIRST_ROUND_MS + ROUNDS * ROUND_INTERVAL_MS
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -217,7 +217,10 @@
         match self.servers[number].mode.get() {
             Mode::Serves => self.establish(number, id, read, write, ANSWER_DELAY).await,
             Mode::Late => self.establish(number, id, read, write, LATE_ANSWER_DELAY).await,
-            Mode::Hangs => discard_input(&mut read).await,
+            Mode::Hangs => {
+                self.checker.borrow_mut().on_attempt_ignored(id, number);
+                discard_input(&mut read).await;
+            }
             Mode::Rejects => {
                 self.checker.borrow_mut().on_attempt_rejected(id, number);
                 let _ = write.write_all(b"BUSY\r\n").await;
--- a/crates/soak/src/shutdown.rs
+++ b/crates/soak/src/shutdown.rs
@@ -25,6 +25,7 @@
             self.reload_node(number);
             sleep(interval).await;
         }
+        self.checker.borrow_mut().on_shutdown(number);
         self.signal(number, Signal::TERM);
         let sent_at = Instant::now();
         self.send_second_signal(number, series, interval).await;
--- a/crates/test-support/src/cluster/auditor.rs
+++ b/crates/test-support/src/cluster/auditor.rs
@@ -182,7 +182,7 @@
         self.timeline.current_second().requests += 1;
         let incarnation = self.checker.incarnation(node);
         let safety = RetrySafety::Idempotent;
-        self.checker.on_request(SentRequest { id, node, incarnation, safety, line });
+        self.checker.on_request(SentRequest { id, node, incarnation, safety, line, restored: None });
     }
 
     /// A client's request has ended, this long after it was sent. A connection that ended without an open attempt is
--- a/crates/test-support/src/invariants/mod.rs
+++ b/crates/test-support/src/invariants/mod.rs
@@ -86,6 +86,19 @@
     pub safety: RetrySafety,
     /// The request line.
     pub line: &'a str,
+    /// Set if the request restores a session that the client had at a server.
+    pub restored: Option<RestoredSession>,
+}
+
+/// A session that a client had before its node started, and restores.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RestoredSession {
+    /// The server of the session, the only one that may get its attempts.
+    pub server: usize,
+    /// Time within which the session is up, or has its final answer.
+    pub answer_within: Duration,
+    /// The number of attempts after which a node may give up.
+    pub max_attempts: usize,
 }
 
 /// Checks the invariants of one run.
@@ -165,6 +178,11 @@
         self.processes[node].is_killed = true;
     }
 
+    /// The process of a node is told to end; sessions that it has not restored get their final answers.
+    pub fn on_shutdown(&mut self, node: usize) {
+        self.processes[node].is_shutting_down = true;
+    }
+
     /// The process of a node is killed or suspended; its missing answers and its attempts at draining servers are no
     /// violations from now on.
     pub fn on_suspend(&mut self, node: usize) {
@@ -221,8 +239,16 @@
         self.served += u64::from(answer == Answer::Up);
         let Some(request) = self.requests.get(id) else { return };
         let node = request.node;
+        let process = &self.processes[node];
+        let is_ending = process.incarnation != request.incarnation || process.is_ending();
+        let lost = request.check_restored(id, answer).filter(|_| !is_ending);
+        let answer_within =
+            request.restored().map_or(self.limits.answer_within, |session| session.answer_within);
         let stalled = self.stalled_since(node, Instant::now() - waited);
-        if waited > self.limits.answer_within + stalled + self.lateness() {
+        if let Some((rule, detail)) = lost {
+            self.report(rule, detail);
+        }
+        if waited > answer_within + stalled + self.lateness() {
             self.report(
                 Rule::Lost,
                 format!("request {id} at node {node} got its answer {answer:?} late, after {waited:?}"),
@@ -266,7 +292,8 @@
         found.extend(request.check_retry(id, server, lateness, self.limits.dedup_window));
         request.add_attempt(server);
         let process = &self.processes[request.node];
-        if process.incarnation == request.incarnation {
+        // A restored session returns to its server, whatever the server's state.
+        if process.incarnation == request.incarnation && request.restored().is_none() {
             found.extend(process.check_drain(request.node, id, server, lateness));
         }
         let is_stalled = process.stalled_since(Instant::now() - STALL_EFFECT) > Duration::ZERO;
@@ -285,6 +312,13 @@
         }
     }
 
+    /// A server will not answer an attempt.
+    pub fn on_attempt_ignored(&mut self, id: &str, server: usize) {
+        if let Some(request) = self.requests.get_mut(id) {
+            request.ignore_attempt(server);
+        }
+    }
+
     /// The connection of an attempt has ended, as seen by its server.
     pub fn on_attempt_ended(&mut self, id: &str, server: usize) {
         if let Some(request) = self.requests.get_mut(id) {
--- a/crates/test-support/src/invariants/process_record.rs
+++ b/crates/test-support/src/invariants/process_record.rs
@@ -16,6 +16,8 @@
     /// Increases with each process.
     pub(super) incarnation: u64,
     pub(super) is_killed: bool,
+    /// Whether the process has been told to end.
+    pub(super) is_shutting_down: bool,
     /// The earlier incarnations that were killed.
     killed: Vec<u64>,
     /// By server: when this process was notified that the server must get no new requests.
@@ -31,6 +33,11 @@
         *self = ProcessRecord { incarnation: self.incarnation + 1, killed, ..ProcessRecord::default() };
     }
 
+    /// Whether the newest process was killed or told to end.
+    pub(super) fn is_ending(&self) -> bool {
+        self.is_killed || self.is_shutting_down
+    }
+
     /// Whether the process with this incarnation was killed.
     pub(super) fn was_killed(&self, incarnation: u64) -> bool {
         self.killed.contains(&incarnation) || (self.incarnation == incarnation && self.is_killed)
--- a/crates/test-support/src/invariants/request_record.rs
+++ b/crates/test-support/src/invariants/request_record.rs
@@ -1,6 +1,8 @@
 //! The state that the checker tracks for a request.
 
-use super::{RetrySafety, Rule, SentRequest, DISCONNECT_GRACE, REORDERING_SLACK, SOCKET_SLACK};
+use super::{
+    Answer, RestoredSession, RetrySafety, Rule, SentRequest, DISCONNECT_GRACE, REORDERING_SLACK, SOCKET_SLACK,
+};
 use std::time::{Duration, Instant};
 
 #[derive(Debug)]
@@ -10,6 +12,8 @@
     has_ended: bool,
     /// The server has rejected the attempt, so it has not run.
     is_rejected: bool,
+    /// The server does not answer the attempt.
+    is_ignored: bool,
 }
 
 #[derive(Debug)]
@@ -19,6 +23,7 @@
     pub(super) client_gone_at: Option<Instant>,
     safety: RetrySafety,
     line: String,
+    restored: Option<RestoredSession>,
     attempts: Vec<Attempt>,
 }
 
@@ -30,10 +35,15 @@
             client_gone_at: None,
             safety: request.safety,
             line: request.line.to_string(),
+            restored: request.restored,
             attempts: Vec::new(),
         }
     }
 
+    pub(super) fn restored(&self) -> Option<RestoredSession> {
+        self.restored
+    }
+
     pub(super) fn attempt_count(&self) -> usize {
         self.attempts.len()
     }
@@ -44,7 +54,8 @@
 
     pub(super) fn add_attempt(&mut self, server: usize) {
         let started_at = Instant::now();
-        self.attempts.push(Attempt { server, started_at, has_ended: false, is_rejected: false });
+        let attempt = Attempt { server, started_at, has_ended: false, is_rejected: false, is_ignored: false };
+        self.attempts.push(attempt);
     }
 
     pub(super) fn reject_attempt(&mut self, server: usize) {
@@ -53,6 +64,12 @@
         }
     }
 
+    pub(super) fn ignore_attempt(&mut self, server: usize) {
+        if let Some(attempt) = self.open_attempt(server) {
+            attempt.is_ignored = true;
+        }
+    }
+
     pub(super) fn end_attempt(&mut self, server: usize) {
         if let Some(attempt) = self.open_attempt(server) {
             attempt.has_ended = true;
@@ -63,8 +80,32 @@
         self.attempts.iter_mut().rev().find(|attempt| attempt.server == server && !attempt.has_ended)
     }
 
+    /// Returns a violation if a restored session is not up, although its node might have made another attempt: there were
+    /// fewer than the most, the last one has ended, and none of them forbids another.
+    pub(super) fn check_restored(&self, id: &str, answer: Answer) -> Option<(Rule, String)> {
+        let session = self.restored.filter(|_| answer != Answer::Up)?;
+        let attempts = &self.attempts;
+        let may_have_run = attempts.iter().any(|attempt| !attempt.is_rejected);
+        let is_unanswered = attempts.last().is_some_and(|attempt| attempt.is_ignored);
+        let is_excused = attempts.len() >= session.max_attempts
+            || is_unanswered
+            || (may_have_run && self.safety != RetrySafety::Idempotent);
+        let detail = || {
+            format!(
+                "session {id} at node {} is not restored at server {}, {answer:?} after {attempts:?}",
+                self.node, session.server
+            )
+        };
+        (!is_excused).then(|| (Rule::Lost, detail()))
+    }
+
     /// Returns a violation if the line that a server received differs from the client's in more than the deadline.
     pub(super) fn check_line(&self, server: usize, line: &str) -> Option<(Rule, String)> {
+        if let Some(session) = self.restored.filter(|session| session.server != server) {
+            let detail =
+                format!("server {server} received the session of server {}: {line:?}", session.server);
+            return Some((Rule::Line, detail));
+        }
         let is_unchanged = without_deadline(line) == without_deadline(&self.line);
         (!is_unchanged)
             .then(|| (Rule::Line, format!("server {server} received {line:?} for {:?}", self.line)))
--- a/crates/test-support/src/invariants/tests.rs
+++ b/crates/test-support/src/invariants/tests.rs
@@ -15,7 +15,7 @@
 fn checker(safety: RetrySafety) -> InvariantChecker {
     let mut checker = InvariantChecker::new(1, LIMITS);
     checker.on_start(0);
-    checker.on_request(SentRequest { id: "a", node: 0, incarnation: 1, safety, line: LINE });
+    checker.on_request(SentRequest { id: "a", node: 0, incarnation: 1, safety, line: LINE, restored: None });
     checker
 }
 
@@ -126,3 +126,45 @@
     killed.on_no_answer("a", "the connection ended");
     assert_eq!(violated_rules(&killed), []);
 }
+
+/// A checker with a session that a client restores at server 3.
+fn restoring_checker(safety: RetrySafety) -> InvariantChecker {
+    let mut checker = InvariantChecker::new(1, LIMITS);
+    checker.on_start(0);
+    let answer_within = 3 * LIMITS.answer_within;
+    let restored = Some(RestoredSession { server: 3, answer_within, max_attempts: 3 });
+    checker.on_request(SentRequest { id: "a", node: 0, incarnation: 1, safety, line: LINE, restored });
+    checker
+}
+
+#[test]
+fn a_restored_session_that_is_given_up_early_is_reported() {
+    let mut checker = restoring_checker(RetrySafety::Idempotent);
+    checker.on_attempt("a", 3, LINE);
+    checker.on_attempt_ended("a", 3);
+    checker.on_answer("a", Answer::Up, 2 * LIMITS.answer_within);
+    assert_eq!(violated_rules(&checker), [], "up, within its own time");
+    checker.on_answer("a", Answer::Failed, DEADLINE);
+    assert_eq!(violated_rules(&checker), [Rule::Lost]);
+    checker.on_answer("a", Answer::Up, 4 * LIMITS.answer_within);
+    assert_eq!(violated_rules(&checker), [Rule::Lost, Rule::Lost], "late");
+    checker.on_attempt("a", 2, LINE);
+    assert_eq!(violated_rules(&checker), [Rule::Lost, Rule::Lost, Rule::Line], "another server");
+}
+
+#[test]
+fn a_restored_session_may_be_given_up_for_its_rules_and_at_a_shutdown() {
+    let mut not_again = restoring_checker(RetrySafety::NonIdempotent);
+    not_again.on_attempt("a", 3, LINE);
+    not_again.on_answer("a", Answer::Failed, DEADLINE);
+    assert_eq!(violated_rules(&not_again), [], "it may have run");
+    let mut unanswered = restoring_checker(RetrySafety::Idempotent);
+    unanswered.on_attempt("a", 3, LINE);
+    unanswered.on_attempt_ignored("a", 3);
+    unanswered.on_answer("a", Answer::Failed, DEADLINE);
+    assert_eq!(violated_rules(&unanswered), [], "the server does not answer");
+    let mut shut_down = restoring_checker(RetrySafety::Idempotent);
+    shut_down.on_shutdown(0);
+    shut_down.on_answer("a", Answer::Failed, DEADLINE);
+    assert_eq!(violated_rules(&shut_down), []);
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -11,6 +11,7 @@
 const NODES: usize = 4;
 const SEEDS: Range<u64> = 7_001..7_007;
 const SHUTDOWN_SEEDS: Range<u64> = 8_001..8_007;
+const RESTORATION_SEEDS: Range<u64> = 9_001..9_007;
 
 /// Held while the runs of one family are in progress, so that the load of a run does not depend on the other tests.
 static RUNNING: Mutex<()> = Mutex::new(());
@@ -46,6 +47,12 @@
     check_all(Family::Faults, seeds(SEEDS));
 }
 
+/// Clients restore sessions that they had at a server, from the nodes' first start on.
+#[test]
+fn the_rules_hold_while_clients_restore_sessions() {
+    check_all(Family::Restorations, seeds(RESTORATION_SEEDS));
+}
+
 /// Clients keep their sessions, and rest on open connections, until the nodes end them.
 #[test]
 fn the_rules_hold_while_nodes_are_shut_down_by_series_of_signals() {
