--- a/crates/test-support/src/peer.rs
+++ b/crates/test-support/src/peer.rs
@@ -106,7 +106,7 @@
         }
     }
 
-    /// Sets the time-out of reads, for events that are due later than [`IO_TIMEOUT`].
+    /// Sets the time-out of reads, for events that are due later than its default of 20 s.
     pub fn set_read_timeout(&self, timeout: Duration) {
         self.stream.set_read_timeout(Some(timeout)).expect("failed to set the read time-out");
     }
--- a/tests/session_restoration.rs
+++ b/tests/session_restoration.rs
@@ -2,8 +2,8 @@
 //! the time that the protocol gives it, or gets a final answer.
 
 use sparbank_test_support::{
-    endpoint_entry, listener, refusing_port, request_line, FullBacklogServer, ListKind, Peer, Signal,
-    TestNode,
+    endpoint_entry, listener, refusing_port, request_line, FullBacklogServer, HandoverNode, ListKind, Peer,
+    Signal, TestNode,
 };
 use std::net::TcpListener;
 use std::thread;
@@ -214,3 +214,45 @@
     assert_eq!(client.read_line(), "UP r1");
     assert!(node.counter("restore_attempts") > 1, "the first attempt had no descriptor");
 }
+
+#[test]
+fn restored_sessions_are_lost_when_their_server_drains_or_the_node_reloads() {
+    let mut node = TestNode::start_with_servers(PROGRAM, vec![refusing_port()], None);
+    let mut watch = node.accept_watch();
+    let mut client = node.connect_client(&restoring_line(0, Some(LARGE_DEADLINE_MS)));
+    node.wait_for_log("session not restored yet, retrying");
+    node.update_lifecycle(&mut watch, 0, "draining");
+    node.reconfigure(str::to_string);
+    node.wait_for_log("configuration reloaded");
+    node.move_discovery();
+    node.wait_for_log("configuration reloaded");
+    rustix::net::listen(&node.servers[0], 16).expect("failed to listen");
+    let mut attempt = accept_line(&node.servers[0]);
+    attempt.send("UP r1\r\n");
+    assert_eq!(client.read_line(), "UP r1");
+}
+
+#[test]
+fn restored_sessions_get_no_answer_when_a_successor_takes_over() {
+    let mut node = HandoverNode::start(PROGRAM);
+    let mut client = node.bench.connect_client(&restoring_line(0, Some(LARGE_DEADLINE_MS)));
+    let attempt = accept_line(&node.bench.servers[0]);
+    let mut predecessor = node.start_successor();
+    predecessor.signal(Signal::TERM);
+    assert_eq!(client.read_line(), "ERR", "the server may have received the line");
+    predecessor.expect_success();
+    drop(attempt);
+}
+
+#[test]
+fn restored_sessions_of_a_client_that_leaves_are_attempted_again() {
+    let mut node = TestNode::start_with_servers(PROGRAM, vec![refusing_port()], None);
+    let client = node.connect_client(&restoring_line(0, None));
+    node.wait_for_log("session not restored yet, retrying");
+    drop(client);
+    let warning = node.wait_for_log("session not restored");
+    assert!(warning.contains("reason=client-gone"), "{warning}");
+    rustix::net::listen(&node.servers[0], 16).expect("failed to listen");
+    thread::sleep(SETTLE_TIME);
+    node.assert_no_attempts();
+}
