--- a/tests/session_restoration.rs
+++ b/tests/session_restoration.rs
@@ -2,8 +2,8 @@
 //! the time that the protocol gives it, or gets a final answer.
 
 use sparbank_test_support::{
-    endpoint_entry, listener, refusing_port, request_line, FullBacklogServer, HandoverNode, ListKind, Peer,
-    Signal, TestNode,
+    endpoint_entry, listener, refusing_port, request_line, try_accept, FullBacklogServer, HandoverNode,
+    ListKind, Peer, Signal, TestNode,
 };
 use std::net::TcpListener;
 use std::thread;
@@ -17,6 +17,8 @@
 const LARGE_DEADLINE_MS: u64 = 4_294_967;
 /// SIGKILL follows 0.7 s after the longest deadline, which is 1.2 s in these tests.
 const SIGKILL_AFTER: Duration = Duration::from_millis(1_900);
+/// Interval between attempts to accept while no connection is pending.
+const ACCEPT_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Long enough that a node with work to do would have done it.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
 
@@ -70,11 +72,22 @@
     format!("{line},at=s-{server}")
 }
 
+/// Accepts the next connection. Panics if none arrives within the time of a restoration.
+fn accept(server: &TcpListener) -> Peer {
+    let deadline = Instant::now() + RESTORATION_TIME;
+    while Instant::now() < deadline {
+        if let Some(attempt) = try_accept(server) {
+            return attempt;
+        }
+        thread::sleep(ACCEPT_POLL_INTERVAL);
+    }
+    panic!("no connection arrived within {RESTORATION_TIME:?}")
+}
+
 /// Accepts connections up to the first that brings a line.
 fn accept_line(server: &TcpListener) -> Peer {
     loop {
-        // Blocks without a time-out: the client's read ends a test in which no connection arrives.
-        let mut attempt = Peer::new(server.accept().expect("failed to accept").0);
+        let mut attempt = accept(server);
         if !attempt.read_line().is_empty() {
             return attempt;
         }
