--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -55,11 +55,6 @@
         })
     }
 
-    /// The settings in force.
-    pub fn settings(&self) -> &Settings {
-        &self.settings
-    }
-
     /// Replaces the settings. The new ones must be valid and have the same classes in the same order.
     pub fn update_settings(&mut self, settings: Settings) {
         self.limits = FleetLimits::new(&settings);
--- a/src/requests/restorations.rs
+++ b/src/requests/restorations.rs
@@ -30,6 +30,7 @@
 pub struct Restorations {
     by_id: HashMap<RequestId, RestoreAttempts>,
     rng: Rng,
+    settings: Settings,
 }
 
 /// The attempts to restore one session.
@@ -43,20 +44,45 @@
     sent: AttemptHistory,
 }
 
-/// The time and the settings that a decision rests on.
+/// What a decision rests on, beside the settings and the earlier attempts.
 #[derive(Clone, Copy)]
-pub struct RestoreInputs<'a> {
+pub struct RestoreInputs {
     pub now: MonotonicTime,
     /// When the client stops waiting for an answer.
     pub deadline: MonotonicTime,
-    pub class: &'a RequestClass,
-    pub settings: &'a Settings,
+    /// The class of the session, an index into the classes of the settings.
+    pub class: usize,
+}
+
+/// The inputs of a decision, with the settings.
+#[derive(Clone, Copy)]
+struct Situation<'a> {
+    now: MonotonicTime,
+    deadline: MonotonicTime,
+    class: &'a RequestClass,
+    settings: &'a Settings,
+}
+
+impl<'a> Situation<'a> {
+    fn new(inputs: RestoreInputs, settings: &'a Settings) -> Situation<'a> {
+        let RestoreInputs { now, deadline, class } = inputs;
+        Situation { now, deadline, class: class_of(settings, class), settings }
+    }
+}
+
+fn class_of(settings: &Settings, class: usize) -> &RequestClass {
+    &settings.classes[class.min(settings.classes.len() - 1)]
 }
 
 impl Restorations {
     /// Creates an empty table. The seed determines the random part of the backoffs.
-    pub fn new(seed: u64) -> Restorations {
-        Restorations { by_id: HashMap::new(), rng: Rng::from_seed(mix64(!seed)) }
+    pub fn new(seed: u64, settings: Settings) -> Restorations {
+        Restorations { by_id: HashMap::new(), rng: Rng::from_seed(mix64(!seed)), settings }
+    }
+
+    /// Applies updated settings, which must have the same classes at the same indexes.
+    pub fn update_settings(&mut self, settings: Settings) {
+        self.settings = settings;
     }
 
     /// Adds a session without an attempt.
@@ -76,22 +102,24 @@
     pub fn start_attempt(
         &mut self,
         id: RequestId,
-        inputs: RestoreInputs<'_>,
+        inputs: RestoreInputs,
     ) -> Result<AttemptTimeouts, RetryRefusal> {
+        let situation = Situation::new(inputs, &self.settings);
         let attempts = self.by_id.entry(id).or_default();
-        attempts.may_attempt(inputs)?;
+        attempts.may_attempt(situation)?;
         attempts.is_sent = false;
         attempts.started += 1;
-        let dial_timeout = inputs.settings.dial_timeout;
+        let dial_timeout = self.settings.dial_timeout;
         let connect = full_jitter_limit(dial_timeout, MAX_CONNECT_TIMEOUT, attempts.started - 1);
-        let answer = attempts.answer_by(inputs).saturating_duration_since(inputs.now);
+        let answer = attempts.answer_by(situation).saturating_duration_since(inputs.now);
         Ok(AttemptTimeouts { connect: connect.max(dial_timeout), answer })
     }
 
     /// The time before which the request line of the attempt must be written to the server.
-    pub fn send_by(&self, id: RequestId, inputs: RestoreInputs<'_>) -> MonotonicTime {
+    pub fn send_by(&self, id: RequestId, inputs: RestoreInputs) -> MonotonicTime {
+        let class = class_of(&self.settings, inputs.class);
         let attempts = self.by_id.get(&id);
-        let window_end = attempts.and_then(|attempts| attempts.sent.dedup_window_end(inputs.class));
+        let window_end = attempts.and_then(|attempts| attempts.sent.dedup_window_end(class));
         rules::send_by(inputs.deadline, window_end)
     }
 
@@ -113,34 +141,36 @@
         id: RequestId,
         server: Option<ServerId>,
         outcome: Outcome,
-        inputs: RestoreInputs<'_>,
+        inputs: RestoreInputs,
     ) -> Result<Duration, RetryRefusal> {
         let random = self.rng.next_u64();
+        let situation = Situation::new(inputs, &self.settings);
         let attempts = self.by_id.entry(id).or_default();
         if let Some(server) = server.filter(|_| attempts.is_sent) {
             attempts.sent.on_ended(server, outcome);
         }
-        attempts.may_attempt(inputs)?;
-        Ok(uniform_duration_up_to(random, attempts.backoff_limit(inputs)))
+        attempts.may_attempt(situation)?;
+        Ok(uniform_duration_up_to(random, attempts.backoff_limit(situation)))
     }
 
     /// Whether the client may send its request again without a risk of running it twice.
-    pub fn may_reject(&self, id: RequestId, class: &RequestClass) -> bool {
+    pub fn may_reject(&self, id: RequestId, class: usize) -> bool {
+        let class = class_of(&self.settings, class);
         self.by_id.get(&id).is_none_or(|attempts| attempts.sent.may_reject(class))
     }
 }
 
 impl RestoreAttempts {
-    fn may_attempt(&self, inputs: RestoreInputs<'_>) -> Result<(), RetryRefusal> {
-        let RestoreInputs { now, deadline, class, settings } = inputs;
+    fn may_attempt(&self, situation: Situation<'_>) -> Result<(), RetryRefusal> {
+        let Situation { now, deadline, class, settings } = situation;
         let attempts = &self.sent;
         rules::may_retry(&RetryInputs { now, deadline, attempts, class, misses_deadline: false }, settings)
     }
 
     /// When an attempt without an answer ends. The server may answer late, so that there is time for one more attempt
     /// at the end only.
-    fn answer_by(&self, inputs: RestoreInputs<'_>) -> MonotonicTime {
-        let RestoreInputs { now, deadline, class, settings } = inputs;
+    fn answer_by(&self, situation: Situation<'_>) -> MonotonicTime {
+        let Situation { now, deadline, class, settings } = situation;
         let may_be_repeated =
             class.effect == Effect::ReadLike && self.sent.count() + 1 < settings.max_attempts;
         let last_attempt_at = deadline - LAST_ATTEMPT_TIME;
@@ -152,8 +182,8 @@
     }
 
     /// The upper limit of the backoff. Attempts that were sent are few, so they are spread over the time that is left.
-    fn backoff_limit(&self, inputs: RestoreInputs<'_>) -> Duration {
-        let RestoreInputs { now, deadline, class, settings } = inputs;
+    fn backoff_limit(&self, situation: Situation<'_>) -> Duration {
+        let Situation { now, deadline, class, settings } = situation;
         if !self.is_sent {
             return full_jitter_limit(
                 UNSENT_BACKOFF_BASE,
--- a/src/requests/restorations/tests.rs
+++ b/src/requests/restorations/tests.rs
@@ -31,12 +31,12 @@
     }
 }
 
-fn inputs(settings: &Settings, now: MonotonicTime) -> RestoreInputs<'_> {
-    RestoreInputs { now, deadline: START + TIME, class: &settings.classes[0], settings }
+fn inputs(now: MonotonicTime) -> RestoreInputs {
+    RestoreInputs { now, deadline: START + TIME, class: 0 }
 }
 
-fn restorations() -> Restorations {
-    let mut restorations = Restorations::new(7);
+fn restorations(effect: Effect) -> Restorations {
+    let mut restorations = Restorations::new(7, settings(effect));
     restorations.insert(ID);
     restorations
 }
@@ -44,13 +44,12 @@
 /// Makes an attempt whose line is sent, and returns what follows its end.
 fn sent_attempt(
     restorations: &mut Restorations,
-    settings: &Settings,
     now: MonotonicTime,
     outcome: Outcome,
 ) -> Result<Duration, RetryRefusal> {
-    restorations.start_attempt(ID, inputs(settings, now))?;
+    restorations.start_attempt(ID, inputs(now))?;
     restorations.on_sent(now, ID, SERVER);
-    restorations.on_attempt_ended(ID, Some(SERVER), outcome, inputs(settings, now))
+    restorations.on_attempt_ended(ID, Some(SERVER), outcome, inputs(now))
 }
 
 #[rstest]
@@ -58,16 +57,15 @@
     #[values(Effect::ReadLike, Effect::IdempotencyKey, Effect::NonIdempotent)] effect: Effect,
     #[values(Outcome::ConnectFailed, Outcome::LocalShortage, Outcome::NotSent)] outcome: Outcome,
 ) {
-    let settings = settings(effect);
-    let mut restorations = restorations();
+    let mut restorations = restorations(effect);
     let mut now = START;
     let mut attempts = 0;
     let refusal = loop {
-        if let Err(refusal) = restorations.start_attempt(ID, inputs(&settings, now)) {
+        if let Err(refusal) = restorations.start_attempt(ID, inputs(now)) {
             break refusal;
         }
         attempts += 1;
-        match restorations.on_attempt_ended(ID, None, outcome, inputs(&settings, now)) {
+        match restorations.on_attempt_ended(ID, None, outcome, inputs(now)) {
             Ok(backoff) => {
                 assert!(backoff <= UNSENT_BACKOFF_CAP, "{backoff:?}");
                 now = now + backoff + Duration::from_millis(1);
@@ -81,9 +79,8 @@
 
 #[test]
 fn the_time_for_connecting_doubles_up_to_a_limit() {
-    let settings = settings(Effect::ReadLike);
-    let mut restorations = restorations();
-    let mut start = || restorations.start_attempt(ID, inputs(&settings, START)).expect("an attempt").connect;
+    let mut restorations = restorations(Effect::ReadLike);
+    let mut start = || restorations.start_attempt(ID, inputs(START)).expect("an attempt").connect;
     let timeouts: Vec<Duration> = (0..6).map(|_| start()).collect();
     let doubled = [1, 2, 4, 8, 16].map(|factor| factor * DIAL_TIMEOUT);
     assert_eq!(timeouts[..5], doubled);
@@ -94,37 +91,34 @@
 fn attempts_that_were_sent_are_limited_and_leave_time_for_the_next_one(
     #[values(Outcome::Rejected, Outcome::Reset, Outcome::Error, Outcome::Cancelled)] outcome: Outcome,
 ) {
-    let settings = settings(Effect::ReadLike);
-    let mut restorations = restorations();
+    let mut restorations = restorations(Effect::ReadLike);
     let mut now = START;
     for _ in 1..MAX_ATTEMPTS {
-        now = now + sent_attempt(&mut restorations, &settings, now, outcome).expect("another attempt");
+        now = now + sent_attempt(&mut restorations, now, outcome).expect("another attempt");
     }
     assert!(now < START + TIME / 2, "the last attempt starts at {now:?}");
-    let last = sent_attempt(&mut restorations, &settings, now, outcome);
+    let last = sent_attempt(&mut restorations, now, outcome);
     assert_eq!(last, Err(RetryRefusal::AttemptsUsed));
 }
 
 #[test]
 fn a_session_that_may_have_run_is_not_sent_again_if_its_class_is_not_idempotent() {
-    let settings = settings(Effect::NonIdempotent);
-    let rejected = sent_attempt(&mut restorations(), &settings, START, Outcome::Rejected);
+    let rejected = sent_attempt(&mut restorations(Effect::NonIdempotent), START, Outcome::Rejected);
     assert!(rejected.is_ok(), "the server has not run it");
-    let mut restorations = restorations();
-    let reset = sent_attempt(&mut restorations, &settings, START, Outcome::Reset);
+    let mut restorations = restorations(Effect::NonIdempotent);
+    let reset = sent_attempt(&mut restorations, START, Outcome::Reset);
     assert_eq!(reset, Err(RetryRefusal::MayHaveRun));
-    assert!(!restorations.may_reject(ID, &settings.classes[0]));
+    assert!(!restorations.may_reject(ID, 0));
 }
 
 #[test]
 fn a_session_with_an_idempotency_key_is_sent_again_only_within_the_deduplication_window() {
-    let settings = settings(Effect::IdempotencyKey);
-    let mut restorations = restorations();
-    let backoff = sent_attempt(&mut restorations, &settings, START, Outcome::Reset).expect("another attempt");
+    let mut restorations = restorations(Effect::IdempotencyKey);
+    let backoff = sent_attempt(&mut restorations, START, Outcome::Reset).expect("another attempt");
     assert!(backoff < DEDUP_WINDOW - DIAL_TIMEOUT, "{backoff:?}");
-    let send_by = restorations.send_by(ID, inputs(&settings, START));
+    let send_by = restorations.send_by(ID, inputs(START));
     assert!(send_by < START + DEDUP_WINDOW);
-    let late = restorations.start_attempt(ID, inputs(&settings, START + DEDUP_WINDOW));
+    let late = restorations.start_attempt(ID, inputs(START + DEDUP_WINDOW));
     assert_eq!(late, Err(RetryRefusal::MayHaveRun));
 }
 
@@ -138,7 +132,6 @@
     #[case] after: Duration,
     #[case] expected: Duration,
 ) {
-    let settings = settings(effect);
-    let started = restorations().start_attempt(ID, inputs(&settings, START + after)).expect("an attempt");
+    let started = restorations(effect).start_attempt(ID, inputs(START + after)).expect("an attempt");
     assert_eq!(started.answer, expected);
 }
--- a/src/requests/table.rs
+++ b/src/requests/table.rs
@@ -32,16 +32,18 @@
     /// # Errors
     /// The first setting that is invalid.
     pub fn new(seed: u64, settings: Settings) -> Result<RequestTable, SettingsError> {
+        let restorations = Restorations::new(seed, settings.clone());
         Ok(RequestTable {
             decisions: DecisionQueue::new(seed, settings)?,
             ledger: RequestLedger::default(),
-            restorations: Restorations::new(seed),
+            restorations,
             violations: ViolationLog::default(),
         })
     }
 
     /// Applies updated settings, which must have the same classes at the same indexes.
     pub fn update_settings(&mut self, settings: Settings) {
+        self.restorations.update_settings(settings.clone());
         self.decisions.balancer_mut().update_settings(settings);
     }
 
--- a/src/requests/table/restoring.rs
+++ b/src/requests/table/restoring.rs
@@ -2,7 +2,7 @@
 
 use super::RequestTable;
 use crate::frontend_id::FrontendId;
-use crate::model::{Arrival, Event, Outcome, RequestClass, RequestId, ServerId, Settings};
+use crate::model::{Arrival, Event, Outcome, RequestId, ServerId};
 use crate::requests::open_requests::Request;
 use crate::requests::records::FlowResult;
 use crate::requests::restorations::RestoreInputs;
@@ -35,7 +35,7 @@
         id: RequestId,
     ) -> Result<AttemptTimeouts, RetryRefusal> {
         let request = self.ledger.open().get(id).ok_or(RetryRefusal::AttemptsUsed)?;
-        let inputs = restore_inputs(now, request, self.decisions.balancer().settings());
+        let inputs = restore_inputs(now, request);
         let timeouts = self.restorations.start_attempt(id, inputs)?;
         self.ledger.counters_mut().restore_attempts += 1;
         Ok(timeouts)
@@ -59,7 +59,7 @@
         outcome: Outcome,
     ) -> Result<Duration, RetryRefusal> {
         let request = self.ledger.open().get(id).ok_or(RetryRefusal::AttemptsUsed)?;
-        let inputs = restore_inputs(now, request, self.decisions.balancer().settings());
+        let inputs = restore_inputs(now, request);
         self.restorations.on_attempt_ended(id, server, outcome, inputs)
     }
 
@@ -73,9 +73,8 @@
 
     /// Whether a client whose session is not restored may send its request again without a risk of running it twice.
     pub fn may_reject_restoration(&self, id: RequestId) -> bool {
-        let Some(request) = self.ledger.open().get(id) else { return false };
-        let class = class_of(request, self.decisions.balancer().settings());
-        self.restorations.may_reject(id, class)
+        let request = self.ledger.open().get(id);
+        request.is_some_and(|request| self.restorations.may_reject(id, request.class))
     }
 
     /// Closes a session that is not restored. Its frontend sends the final answer.
@@ -92,17 +91,13 @@
         request: &Request,
         peers: PeerStatus,
     ) -> Result<(), SendRefusal> {
-        let inputs = restore_inputs(now, request, self.decisions.balancer().settings());
+        let inputs = restore_inputs(now, request);
         let send_by = self.restorations.send_by(id, inputs);
         let peers = PeerStatus { server_ready: true, ..peers };
         rules::may_send(&SendInputs { now, peers, is_current_attempt: true, send_by })
     }
 }
 
-fn restore_inputs<'a>(now: MonotonicTime, request: &Request, settings: &'a Settings) -> RestoreInputs<'a> {
-    RestoreInputs { now, deadline: request.deadline, class: class_of(request, settings), settings }
-}
-
-fn class_of<'a>(request: &Request, settings: &'a Settings) -> &'a RequestClass {
-    &settings.classes[request.class.min(settings.classes.len() - 1)]
+fn restore_inputs(now: MonotonicTime, request: &Request) -> RestoreInputs {
+    RestoreInputs { now, deadline: request.deadline, class: request.class }
 }
