Give a restored session's final answer the protocol's half second in the soak's checker

Cause: traced in the node's log. Accepting was paused for want of descriptors (the schedule's DescriptorShortage at this node), the line was read 0.39 s after it was sent, and answered 7.990 s later.

Change: a session that is up still has its own time and 50 ms; a final answer other than UP has half a second more, as for requests.

--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -2,7 +2,9 @@
 //! `session` has what they do once a server has accepted them.
 
 use crate::node::Nodes;
-use crate::request::{class_name, DEADLINE, MAX_ATTEMPTS, RESTORATION_DEADLINE, RESTORED_WITHIN};
+use crate::request::{
+    class_name, DEADLINE, MAX_ATTEMPTS, RESTORATION_ANSWERED_WITHIN, RESTORATION_DEADLINE, RESTORED_WITHIN,
+};
 use crate::schedule::Family;
 use crate::server::Servers;
 use rand::{Rng, SeedableRng};
@@ -231,7 +233,8 @@
     fn draw_restored_session(&mut self) -> Option<RestoredSession> {
         (self.habit == Habit::Restoring).then(|| RestoredSession {
             server: self.rng.random_range(0..self.servers.len()),
-            answer_within: RESTORED_WITHIN,
+            up_within: RESTORED_WITHIN,
+            answer_within: RESTORATION_ANSWERED_WITHIN,
             max_attempts: MAX_ATTEMPTS,
         })
     }
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -4,7 +4,7 @@
 use crate::connection_burst::burst_of_connections;
 use crate::discovery::{self, Discovery};
 use crate::node::Nodes;
-use crate::request::{LIMITS, RESTORED_WITHIN};
+use crate::request::{LIMITS, RESTORATION_ANSWERED_WITHIN};
 use crate::schedule::{Family, Fault, Schedule, ScheduledFault, SignalSeries};
 use crate::server::{Mode, Servers, SessionEnd};
 use crate::{Options, Report};
@@ -77,7 +77,8 @@
     environment.clone().inject_all(schedule).await;
     sleep(SETTLE_TIME).await;
     environment.behaviour.stopped.set(true);
-    sleep(if schedule.family == Family::Restorations { RESTORED_WITHIN } else { SETTLE_TIME }).await;
+    sleep(if schedule.family == Family::Restorations { RESTORATION_ANSWERED_WITHIN } else { SETTLE_TIME })
+        .await;
     environment.nodes.check_running();
     environment.nodes.finish();
     let checker = environment.checker.borrow();
--- a/crates/soak/src/request.rs
+++ b/crates/soak/src/request.rs
@@ -23,10 +23,13 @@
     min_lateness: Duration::from_millis(10),
 };
 
-/// Time within which a restored session is up, or has its final answer.
+/// Time within which a restored session is up.
 pub const RESTORED_WITHIN: Duration =
     Duration::from_millis((RESTORATION_DEADLINE.as_millis() + SOCKET_SLACK.as_millis()) as u64);
 
+/// Time within which a restored session that is not up has its final answer.
+pub const RESTORATION_ANSWERED_WITHIN: Duration = RESTORED_WITHIN.saturating_add(ANSWER_GRACE);
+
 /// The name, in the settings of the nodes, of the class with this retry safety.
 pub fn class_name(safety: RetrySafety) -> &'static str {
     match safety {
