--- a/review/case.sh
+++ b/review/case.sh
@@ -2,7 +2,7 @@
 # Exit code: 1 the rule was broken, 0 it held, 2 the case could not run.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
-root=$(cd "$here/../.." && pwd)
+root=$(cd "${ROOT:-$here/../..}" && pwd)
 standins="$root/target/review/release/review-standins"
 [ -x "$root/target/release/sparbank" ] && [ -x "$standins" ] || { echo "not built: see review/build.sh"; exit 2; }
 DEPLOY_RUN=$(sed -n 's/^run = "\(.*\)"[[:space:]]*\(#.*\)\{0,1\}$/\1/p' "$root/deploy/balancer.toml")
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -13,6 +13,7 @@
 mod resumed_answer;
 mod resumed_tags;
 mod server;
+mod stale_lease;
 
 use discovery::Discovery;
 use node::{Node, NodeOptions};
@@ -76,6 +77,9 @@
             known: self.discovery.known(),
             effects,
             zones: ZONES.iter().map(|zone| zone.to_string()).collect(),
+            name: "n1",
+            arguments: String::new(),
+            max_attempts: 3,
             addresses,
         };
         Node::start(&self.record, &options)
@@ -97,6 +101,7 @@
     let record = Record::create(Path::new(record));
     let verdict = match case.as_str() {
         "half-close" => half_close::play(Platform::new(record.clone(), Duration::from_millis(300))),
+        "stale-lease" => stale_lease::play(&record),
         "restart-resume" => restart_resume::play(Platform::new(record.clone(), Duration::from_secs(4))),
         "half-messages" => half_messages::play(Platform::new(record.clone(), Duration::from_millis(300))),
         "resumed-tags" => resumed_tags::play(Platform::new(record.clone(), Duration::from_millis(300))),
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -28,6 +28,10 @@
     pub effects: [&'static str; 3],
     /// The zones' names.
     pub zones: Vec<String>,
+    /// The node's name, and further arguments of `serve`.
+    pub name: &'static str,
+    pub arguments: String,
+    pub max_attempts: u32,
     /// The text and the AMQP address; free ones are picked if absent.
     pub addresses: Option<(SocketAddr, SocketAddr)>,
 }
@@ -57,10 +61,11 @@
         r#"{{"Callers":{{"MarksRetry":true}},"Discovery":"ask","Family":"conn",
 "FamilyInfo":{{"Groups":true,"MessageAimNs":[100000000,250000000,150000000],"Mode":"proxy","ParkNs":0,"TellsDelay":true,"TellsLoad":true,"TenantQuotaConnections":[80.0,80.0,80.0,80.0,80.0,80.0,80.0,80.0]}},
 "Feedback":{{"Fields":[],"Source":"off"}},"Goal":{{"Whole":1.0}},"Instances":1,"Kinds":["big-fast","big-std","small-slow"],
-"Limits":{{"ConnIdleNs":15000000000,"DialTimeoutNs":250000000,"MaxAttempts":3,"MaxOpen":1000000,"MaxRetryAfterNs":600000000,"MayCancel":true,"Peers":false,"Probes":false,"RetryAfter":true,"SecondCopies":false,"StreamsPerConn":1048576}},
+"Limits":{{"ConnIdleNs":15000000000,"DialTimeoutNs":250000000,"MaxAttempts":{},"MaxOpen":1000000,"MaxRetryAfterNs":600000000,"MayCancel":true,"Peers":false,"Probes":false,"RetryAfter":true,"SecondCopies":false,"StreamsPerConn":1048576}},
 "Me":0,"OverShareWorth":0.05,"Parties":[{}],"Profiles":[{}],"ResolutionNs":5000000,
 "Rules":{{"AnswerSlackNs":20000000,"AskWithinNs":10000000000,"ColdFrom":0.12,"ColdNs":23000000000,"FallMultiple":3.0,"StopSendingWithinNs":250000000,"TipAfterNs":2000000000}},
 "Stages":["feed-servers"],"Tier":0,"WeightSource":"rough","WorthBy":"request","Zone":0,"Zones":[{}]}}"#,
+        options.max_attempts,
         tenants.join(","),
         classes.join(","),
         zones.join(",")
@@ -70,10 +75,12 @@
 impl Node {
     /// Writes the configuration, starts the process and waits until it has answered `PING` with `PONG`.
     pub fn start(record: &Record, options: &NodeOptions) -> Node {
-        let folder = folder();
+        let folder = folder().join(options.name);
+        std::fs::create_dir_all(&folder).expect("a folder");
         let (text, amqp) = options.addresses.unwrap_or_else(|| (free_address(), free_address()));
         let config = format!(
-            r#"{{"name":"n1","listen":"{text}","discovery":"{}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{},"settings":{}}}"#,
+            r#"{{"name":"{}","listen":"{text}","discovery":"{}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{},"settings":{}}}"#,
+            options.name,
             options.discovery,
             options.known,
             settings(options)
@@ -81,7 +88,7 @@
         std::fs::write(folder.join("node.json"), config).expect("the configuration can be written");
         std::fs::write(folder.join("amqp.json"), format!(r#"{{"listen":"{amqp}"}}"#)).expect("as above");
         let run = std::env::var("DEPLOY_RUN").expect("run.sh sets DEPLOY_RUN");
-        let command = format!("{run} --amqp '{}'", folder.join("amqp.json").display());
+        let command = format!("{run} --amqp '{}' {}", folder.join("amqp.json").display(), options.arguments);
         let log =
             File::options().create(true).append(true).open(folder.join("node.log")).expect("a log file");
         let child = Command::new("/bin/sh")
@@ -93,7 +100,8 @@
             .stderr(log)
             .spawn()
             .expect("the node can be started");
-        let mut pids = File::options().create(true).append(true).open(folder.join("pids")).expect("a file");
+        let mut pids =
+            File::options().create(true).append(true).open(self::folder().join("pids")).expect("a file");
         writeln!(pids, "{}", child.id()).expect("as above");
         let node = Node { child, text, amqp };
         let started = Instant::now();
@@ -118,6 +126,12 @@
             && TcpStream::connect(self.amqp).is_ok()
     }
 
+    /// Stops the process (SIGSTOP) or continues it (SIGCONT).
+    pub fn set_stopped(&self, is_stopped: bool) {
+        let signal = if is_stopped { 19 } else { 18 };
+        unsafe { kill(self.child.id() as i32, signal) };
+    }
+
     /// Sends SIGKILL and waits for the end.
     pub fn kill(&mut self) {
         unsafe { kill(self.child.id() as i32, 9) };
