--- a/review/case.sh
+++ b/review/case.sh
@@ -1,5 +1,6 @@
 # Read by each run.sh: plays the case $CASE of the stand-ins and writes record.txt beside run.sh.
 # Exit code: 1 the rule was broken, 0 it held, 2 the case could not run.
+# ROOT is the root of the repository where the calling script is not in review/N.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "${ROOT:-$here/../..}" && pwd)
