--- a/review/case.sh
+++ b/review/case.sh
@@ -1,9 +1,9 @@
 # Read by each run.sh: plays the case $CASE of the stand-ins and writes record.txt beside run.sh.
 # Exit code: 1 the rule was broken, 0 it held, 2 the case could not run.
-# ROOT is the root of the repository where the calling script is not in review/N.
+# REVIEW_ROOT is the root of the repository where the calling script is not in review/N.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
-root=$(cd "${ROOT:-$here/../..}" && pwd)
+root=$(cd "${REVIEW_ROOT:-$here/../..}" && pwd)
 standins="$root/target/review/release/review-standins"
 [ -x "$root/target/release/sparbank" ] && [ -x "$standins" ] || { echo "not built: see review/build.sh"; exit 2; }
 DEPLOY_RUN=$(sed -n 's/^run = "\(.*\)"[[:space:]]*\(#.*\)\{0,1\}$/\1/p' "$root/deploy/balancer.toml")
