Never send what is left of a discarded message as a message of its own

Cause: the executor reported the end of a timed-out attempt itself, past the check whether the message is still buffered from its start, so that the balancer started another attempt with what was left. Change: the frontend alone reports ends of attempts (on_attempt_timeout); the octets of a message are a type that gives them from the start only while the start is there, and an attempt starts only with them. Why it works: without an outcome nobody else can report an end, and sending the rest as a whole message does not compile or is refused.

--- a/src/frontend/amqp/deliveries.rs
+++ b/src/frontend/amqp/deliveries.rs
@@ -3,6 +3,7 @@
 use super::connection_link::ConnectionLink;
 use super::fast_map::FastHashMap;
 use super::message_buffer::MessageBuffer;
+use super::message_octets::{MessageOctets, StartDiscarded};
 use crate::model::{Outcome, RequestId, ServerId};
 use sparbank_amqp::{Head, Tag};
 use sparbank_time::MonotonicTime;
@@ -21,14 +22,30 @@
     pub class: usize,
     /// The decoded sections before the body.
     pub head: Head,
-    /// The received octets from position `discarded` on.
-    pub bytes: Vec<u8>,
-    /// The number of octets discarded from the start. If it is above 0, the delivery cannot be retried.
-    pub discarded: usize,
+    /// The octets received so far. Once some of them are discarded, the delivery cannot be retried.
+    pub message: MessageOctets,
     /// Whether the last transfer has been received.
     pub is_complete: bool,
     /// The current attempt, if there is one.
-    pub attempt: Option<Attempt>,
+    attempt: Option<Attempt>,
+}
+
+/// A delivery that was received on a client's link.
+pub struct ReceivedDelivery {
+    /// The client's link.
+    pub link: ConnectionLink,
+    /// The delivery id on the client's session.
+    pub delivery_id: u32,
+    /// The delivery tag that the client assigned.
+    pub tag: Tag,
+    /// The index of the request's class.
+    pub class: usize,
+    /// The decoded sections before the body.
+    pub head: Head,
+    /// The octets received so far.
+    pub octets: Vec<u8>,
+    /// Whether the last transfer has been received.
+    pub is_complete: bool,
 }
 
 /// Where the answer of a delivery is sent.
@@ -75,10 +92,51 @@
     },
 }
 
+impl From<ReceivedDelivery> for Delivery {
+    fn from(received: ReceivedDelivery) -> Delivery {
+        Delivery {
+            link: received.link,
+            delivery_id: received.delivery_id,
+            tag: received.tag,
+            is_attached: true,
+            class: received.class,
+            head: received.head,
+            message: MessageOctets::new(received.octets),
+            is_complete: received.is_complete,
+            attempt: None,
+        }
+    }
+}
+
 impl Delivery {
     /// Whether the delivery can be sent again from its start.
     pub fn is_retryable(&self) -> bool {
-        self.discarded == 0
+        self.message.has_start()
+    }
+
+    /// The current attempt, if there is one.
+    pub fn attempt(&self) -> Option<&Attempt> {
+        self.attempt.as_ref()
+    }
+
+    /// The current attempt, mutably.
+    pub fn attempt_mut(&mut self) -> Option<&mut Attempt> {
+        self.attempt.as_mut()
+    }
+
+    /// Starts an attempt, which waits for a link to the server.
+    ///
+    /// # Errors
+    /// The delivery cannot be sent, since its start has been discarded.
+    pub fn start_attempt(&mut self, server: ServerId, deadline: MonotonicTime) -> Result<(), StartDiscarded> {
+        self.message.octets_from_start()?;
+        self.attempt = Some(Attempt { server, deadline, stage: AttemptStage::Queued });
+        Ok(())
+    }
+
+    /// Ends the current attempt and returns it.
+    pub fn end_attempt(&mut self) -> Option<Attempt> {
+        self.attempt.take()
     }
 }
 
@@ -92,7 +150,7 @@
 impl Deliveries {
     /// Adds the delivery of a request.
     pub fn insert(&mut self, request_id: RequestId, delivery: Delivery) {
-        self.buffer.add(delivery.link.token, delivery.bytes.len());
+        self.buffer.add(delivery.link.token, delivery.message.buffered_len());
         self.by_request.insert(request_id, delivery);
     }
 
@@ -109,7 +167,7 @@
     /// Removes the delivery of a request.
     pub fn remove(&mut self, request_id: RequestId) -> Option<Delivery> {
         let delivery = self.by_request.remove(&request_id)?;
-        self.buffer.subtract(delivery.link.token, delivery.bytes.len());
+        self.buffer.subtract(delivery.link.token, delivery.message.buffered_len());
         Some(delivery)
     }
 
@@ -132,7 +190,7 @@
     /// Appends the octets of a further transfer to a delivery. `is_last` marks the last transfer of the delivery.
     pub fn append(&mut self, request_id: RequestId, bytes: &[u8], is_last: bool) -> Option<&Delivery> {
         let delivery = self.by_request.get_mut(&request_id)?;
-        delivery.bytes.extend_from_slice(bytes);
+        delivery.message.append(bytes);
         delivery.is_complete |= is_last;
         self.buffer.add(delivery.link.token, bytes.len());
         Some(delivery)
@@ -148,7 +206,7 @@
     ) -> Option<Attachment> {
         let delivery = self.by_request.get_mut(&request_id)?;
         let previous = Attachment { link: delivery.link, is_attached: delivery.is_attached };
-        self.buffer.move_to(delivery.link.token, link.token, delivery.bytes.len());
+        self.buffer.move_to(delivery.link.token, link.token, delivery.message.buffered_len());
         delivery.link = link;
         delivery.delivery_id = delivery_id;
         delivery.is_attached = true;
@@ -161,16 +219,11 @@
         let Some(Attempt { stage: AttemptStage::Sending { sent, .. }, .. }) = delivery.attempt else {
             return;
         };
-        if delivery.discarded + delivery.bytes.len() <= max_retryable_bytes {
+        if delivery.message.received_len() <= max_retryable_bytes {
             return;
         }
-        let discardable = (sent - delivery.discarded).min(delivery.bytes.len());
-        // Draining moves the remaining octets to the front, which is worth its cost if they are at most half.
-        if discardable >= delivery.bytes.len() / 2 {
-            delivery.bytes.drain(..discardable);
-            delivery.discarded += discardable;
-            self.buffer.subtract(delivery.link.token, discardable);
-        }
+        let discarded = delivery.message.discard_before(sent);
+        self.buffer.subtract(delivery.link.token, discarded);
     }
 
     /// The numbers of octets that are buffered.
@@ -186,7 +239,7 @@
     /// The outcome of an attempt whose link or connection was lost after `written` octets of the connection's output
     /// had been written. The request may have run if its last octet was written.
     pub fn interrupted_outcome(&self, request_id: RequestId, written: u64) -> Outcome {
-        let attempt = self.get(request_id).and_then(|delivery| delivery.attempt.as_ref());
+        let attempt = self.get(request_id).and_then(Delivery::attempt);
         match attempt.map(|attempt| &attempt.stage) {
             Some(AttemptStage::Sent { end, .. }) if *end <= written => Outcome::Reset,
             _ => Outcome::ConnectFailed,
--- a/src/frontend/amqp/delivery_requests/incomplete_deliveries.rs
+++ b/src/frontend/amqp/delivery_requests/incomplete_deliveries.rs
@@ -117,13 +117,13 @@
                     let at = ConnectionLink { token, id: link };
                     let Some(delivery) = delivery.filter(|delivery| delivery.link == at) else { continue };
                     // The octets of larger deliveries become free as they are sent, which makes room for more transfers.
-                    let is_retained = delivery.discarded + delivery.bytes.len() <= max_retryable_bytes;
+                    let is_retained = delivery.message.received_len() <= max_retryable_bytes;
                     let is_blocking = is_retained || *last_transfer_at + INCOMPLETE_TIMEOUT <= now;
                     pending.push(PendingDelivery {
                         link,
                         id: delivery.delivery_id,
                         waiting_since: (*last_transfer_at).max(body_timeouts_from),
-                        blocking_bytes: if is_blocking { delivery.bytes.len() } else { 0 },
+                        blocking_bytes: if is_blocking { delivery.message.buffered_len() } else { 0 },
                     });
                 }
                 IncompleteDelivery::None | IncompleteDelivery::Ignored => {}
--- a/src/frontend/amqp/delivery_requests/mod.rs
+++ b/src/frontend/amqp/delivery_requests/mod.rs
@@ -14,8 +14,9 @@
 use super::clients::{Clients, IncompleteDelivery};
 use super::config::AmqpConfig;
 use super::connection_link::ConnectionLink;
-use super::deliveries::{Attempt, AttemptStage, Deliveries};
+use super::deliveries::{Attempt, AttemptStage, Deliveries, Delivery};
 use super::message_buffer::MessageBuffer;
+use super::message_octets::StartDiscarded;
 use super::peers::Peers;
 use super::recovery::Recovery;
 use super::replies::failed_state;
@@ -23,6 +24,7 @@
 use crate::frontend::FrontendContext;
 use crate::model::{Outcome, RequestId, ServerId};
 use crate::net::Token;
+use crate::rules::{Violation, ViolationContext};
 use sparbank_amqp::State;
 use sparbank_time::MonotonicTime;
 use std::time::Duration;
@@ -113,16 +115,33 @@
     /// Queues an attempt of a request at a server.
     pub fn start_attempt(
         &mut self,
-        ctx: &FrontendContext,
-        servers: &mut Servers,
+        ctx: &mut FrontendContext,
+        peers: &mut Peers<'_>,
         request_id: RequestId,
         server: ServerId,
         timeout: Duration,
     ) {
         let Some(delivery) = self.deliveries.get_mut(request_id) else { return };
         let deadline = ctx.now + timeout;
-        delivery.attempt = Some(Attempt { server, deadline, stage: AttemptStage::Queued });
-        servers.enqueue(server, delivery.class, delivery.link.token, request_id);
+        match delivery.start_attempt(server, deadline) {
+            Ok(()) => peers.servers.enqueue(server, delivery.class, delivery.link.token, request_id),
+            Err(StartDiscarded) => {
+                let context = ViolationContext::Request { request: request_id.0, id: "" };
+                ctx.requests.record_violation(Violation::RetriedWithoutStart, context);
+                self.on_attempt_ended(ctx, peers, request_id, Outcome::NotSent);
+            }
+        }
+    }
+
+    /// Handles the time-out of a request's attempt.
+    pub fn on_attempt_timeout(
+        &mut self,
+        ctx: &mut FrontendContext,
+        peers: &mut Peers<'_>,
+        request_id: RequestId,
+    ) {
+        let outcome = self.cancel_attempt(ctx, peers.servers, request_id);
+        self.on_attempt_ended(ctx, peers, request_id, outcome);
     }
 
     /// Cancels the attempt of a request and returns its outcome, which shows whether the server may have run the
@@ -134,7 +153,7 @@
         request_id: RequestId,
     ) -> Outcome {
         let Some(delivery) = self.deliveries.get_mut(request_id) else { return Outcome::Cancelled };
-        let Some(attempt) = delivery.attempt.take() else { return Outcome::Cancelled };
+        let Some(attempt) = delivery.end_attempt() else { return Outcome::Cancelled };
         match attempt.stage {
             AttemptStage::Queued => {
                 servers.dequeue(attempt.server, delivery.class, delivery.link.token, request_id);
@@ -173,7 +192,7 @@
         outcome: Outcome,
     ) {
         let Some(delivery) = self.deliveries.get_mut(request_id) else { return };
-        delivery.attempt = None;
+        delivery.end_attempt();
         let is_retryable = delivery.is_retryable();
         if outcome != Outcome::Ok
             && !is_retryable
@@ -202,7 +221,7 @@
             // After any other state, or none, the request may have run.
             _ => Outcome::Error,
         };
-        let attempt = self.deliveries.get(request_id).and_then(|delivery| delivery.attempt.as_ref());
+        let attempt = self.deliveries.get(request_id).and_then(Delivery::attempt);
         if let Some(Attempt { server, stage: AttemptStage::Sending { .. }, .. }) = attempt {
             peers.servers.free_sending_link(*server, class, request_id);
         }
--- a/src/frontend/amqp/delivery_requests/transfers.rs
+++ b/src/frontend/amqp/delivery_requests/transfers.rs
@@ -5,7 +5,7 @@
 use crate::frontend::amqp::class_names::AddressField;
 use crate::frontend::amqp::clients::{ClientSendingLink, IncompleteBody, IncompleteDelivery, IncompleteHead};
 use crate::frontend::amqp::connection_link::ConnectionLink;
-use crate::frontend::amqp::deliveries::Delivery;
+use crate::frontend::amqp::deliveries::ReceivedDelivery;
 use crate::frontend::amqp::info::FrontendInfo;
 use crate::frontend::amqp::peers::Peers;
 use crate::frontend::amqp::recovery::DeliveryStatus;
@@ -120,7 +120,7 @@
                 let Some(delivery) = self.requests.deliveries.append(request_id, payload, last) else {
                     return IncompleteDelivery::Ignored;
                 };
-                if let Some(attempt) = &delivery.attempt {
+                if let Some(attempt) = delivery.attempt() {
                     self.peers.servers.mark_dirty(attempt.server);
                 }
                 IncompleteDelivery::Request(IncompleteBody { request_id, last_transfer_at: self.ctx.now })
@@ -253,19 +253,16 @@
         };
         let request_id = self.ctx.requests.on_request(self.ctx.now, self.info.id, attributes.into_arrival());
         self.record_request(received, request_id);
-        let delivery = Delivery {
+        let delivery = ReceivedDelivery {
             link: received.link,
             delivery_id: received.transfer.id,
             tag: received.transfer.tag,
-            is_attached: true,
             class,
             head,
-            bytes,
-            discarded: 0,
+            octets: bytes,
             is_complete: received.transfer.last,
-            attempt: None,
         };
-        self.requests.deliveries.insert(request_id, delivery);
+        self.requests.deliveries.insert(request_id, delivery.into());
         Ok(request_id)
     }
 
--- a/src/frontend/amqp/mod.rs
+++ b/src/frontend/amqp/mod.rs
@@ -27,6 +27,7 @@
 mod forwarding;
 mod info;
 mod message_buffer;
+mod message_octets;
 mod nonce;
 mod password_checks;
 mod peers;
@@ -39,7 +40,7 @@
 pub use users::{add_user, Rights};
 
 use super::{Frontend, FrontendContext, FrontendError, FrontendSetup, OptionalFrontend};
-use crate::model::{Outcome, RequestId, ServerId};
+use crate::model::{RequestId, ServerId};
 use crate::net::{SocketEvent, SocketOwner, Token};
 use crate::requests::FrontendId;
 use authentication::Authenticator;
@@ -165,14 +166,27 @@
         if self.forwarding.has_request(request_id) {
             self.forwarding.start_attempt(&mut self.servers, request_id, server);
         } else {
-            self.requests.start_attempt(ctx, &mut self.servers, request_id, server, timeout);
+            let mut peers =
+                Peers { config: &self.config, clients: &mut self.clients, servers: &mut self.servers };
+            self.requests.start_attempt(ctx, &mut peers, request_id, server, timeout);
         }
     }
 
-    fn cancel_attempt(&mut self, ctx: &mut FrontendContext, request_id: RequestId) -> Outcome {
+    fn cancel_attempt(&mut self, ctx: &mut FrontendContext, request_id: RequestId) {
+        if self.forwarding.cancel_attempt(&mut self.servers, request_id).is_none() {
+            self.requests.cancel_attempt(ctx, &mut self.servers, request_id);
+        }
+    }
+
+    fn on_attempt_timeout(&mut self, ctx: &mut FrontendContext, request_id: RequestId) {
         match self.forwarding.cancel_attempt(&mut self.servers, request_id) {
-            Some(outcome) => outcome,
-            None => self.requests.cancel_attempt(ctx, &mut self.servers, request_id),
+            Some(outcome) => {
+                ctx.requests.on_attempt_ended(ctx.now, request_id, outcome);
+            }
+            None => {
+                let ServerEvents { mut peers, requests, ctx, .. } = self.server_events(ctx);
+                requests.on_attempt_timeout(ctx, &mut peers, request_id);
+            }
         }
     }
 
--- a/src/frontend/amqp/servers/sending.rs
+++ b/src/frontend/amqp/servers/sending.rs
@@ -5,6 +5,7 @@
 use super::fair_queue::FairQueue;
 use super::server::{ClassQueue, SendingLink, Server};
 use crate::frontend::amqp::deliveries::{AttemptStage, Deliveries, Delivery};
+use crate::frontend::amqp::message_octets::StartDiscarded;
 use crate::frontend::FrontendContext;
 use crate::model::{Outcome, RequestId, ServerId};
 use crate::net::Token;
@@ -117,27 +118,34 @@
         };
         sending_link.sending = None;
         let Some(delivery) = self.deliveries.get(request_id) else { return ChunkResult::Progress };
-        let Some(attempt) = delivery.attempt.as_ref().filter(|attempt| attempt.server == self.server_id)
-        else {
+        let Some(attempt) = delivery.attempt().filter(|attempt| attempt.server == self.server_id) else {
             return ChunkResult::Progress;
         };
         let chunk = Chunk { link: sending_link.link.id, request_id, capacity };
         let progress = match attempt.stage {
             AttemptStage::Sent { .. } => return ChunkResult::Progress,
             AttemptStage::Sending { delivery_id, sent, .. } => {
-                chunk.resume(conn, delivery, delivery_id, sent)
+                match chunk.resume(conn, delivery, delivery_id, sent) {
+                    Ok(progress) => progress,
+                    Err(StartDiscarded) => {
+                        conn.abort(chunk.link);
+                        return ChunkResult::Ended(request_id, Outcome::NotSent);
+                    }
+                }
             }
             AttemptStage::Queued => {
                 if let Err(outcome) = check_sendable(self.ctx, self.server_id, &chunk, conn, delivery) {
                     return ChunkResult::Ended(request_id, outcome);
                 }
                 let ttl_ms = remaining_ms(attempt.deadline, self.ctx.now);
-                let progress = chunk.begin(conn, delivery, ttl_ms, self.encode_buffer);
-                if !progress.sent.started {
-                    waiting.push(delivery.link.token, request_id);
-                    return ChunkResult::Idle;
+                match chunk.begin(conn, delivery, ttl_ms, self.encode_buffer) {
+                    Ok(progress) if progress.sent.started => progress,
+                    Ok(_) => {
+                        waiting.push(delivery.link.token, request_id);
+                        return ChunkResult::Idle;
+                    }
+                    Err(StartDiscarded) => return ChunkResult::Ended(request_id, Outcome::NotSent),
                 }
-                progress
             }
         };
         self.record_progress(request_id, sending_link, conn, &progress)
@@ -156,7 +164,7 @@
         conn: &Connection,
         progress: &Progress,
     ) -> ChunkResult {
-        let attempt = self.deliveries.get_mut(request_id).and_then(|delivery| delivery.attempt.as_mut());
+        let attempt = self.deliveries.get_mut(request_id).and_then(Delivery::attempt_mut);
         let Some(attempt) = attempt else { return ChunkResult::Progress };
         let delivery_id = progress.delivery_id;
         if progress.sent.complete {
@@ -194,35 +202,43 @@
 
 impl Chunk {
     /// Sends the first chunk of a delivery, with a header whose `ttl` is the remaining time of the attempt.
+    ///
+    /// # Errors
+    /// The start of the message has been discarded.
     fn begin(
         &self,
         conn: &mut Connection,
         delivery: &Delivery,
         ttl_ms: u32,
         encode_buffer: &mut Vec<u8>,
-    ) -> Progress {
+    ) -> Result<Progress, StartDiscarded> {
+        let octets = delivery.message.octets_from_start()?;
         encode_buffer.clear();
-        delivery.head.encode(&delivery.bytes, ttl_ms, encode_buffer);
+        delivery.head.encode(octets, ttl_ms, encode_buffer);
         let header_len = encode_buffer.len();
         let rest_start = delivery.head.after_header();
-        encode_buffer.extend_from_slice(&delivery.bytes[rest_start..]);
+        encode_buffer.extend_from_slice(&octets[rest_start..]);
         let delivery_id = conn.next_delivery_id(self.link.channel);
         let sent = self.send(conn, delivery, encode_buffer);
         // The header is smaller than any frame, so it is sent completely with the first frame.
-        Progress { sent, delivery_id, position: rest_start + sent.octets.saturating_sub(header_len) }
+        let position = rest_start + sent.octets.saturating_sub(header_len);
+        Ok(Progress { sent, delivery_id, position })
     }
 
     /// Sends the next chunk of a delivery of which `position` octets have been sent.
+    ///
+    /// # Errors
+    /// Octets after the position have been discarded.
     fn resume(
         &self,
         conn: &mut Connection,
         delivery: &Delivery,
         delivery_id: u32,
         position: usize,
-    ) -> Progress {
-        let octets = delivery.bytes.get(position - delivery.discarded..).unwrap_or_default();
+    ) -> Result<Progress, StartDiscarded> {
+        let octets = delivery.message.octets_from(position)?;
         let sent = self.send(conn, delivery, octets);
-        Progress { sent, delivery_id, position: position + sent.octets }
+        Ok(Progress { sent, delivery_id, position: position + sent.octets })
     }
 
     fn send(&self, conn: &mut Connection, delivery: &Delivery, octets: &[u8]) -> SendResult {
@@ -252,7 +268,7 @@
         tracing::trace!(request = chunk.request_id.0, reason = %refusal, "attempt not sent");
         return Err(Outcome::NotSent);
     }
-    let size = delivery.bytes.len() as u64;
+    let size = delivery.message.received_len() as u64;
     if conn.max_message_size(chunk.link).is_some_and(|max_size| size > max_size) {
         return Err(Outcome::Rejected);
     }
--- a/src/frontend/api.rs
+++ b/src/frontend/api.rs
@@ -3,7 +3,7 @@
 
 use crate::config::FrontendSettings;
 use crate::discovery::EndpointRegistry;
-use crate::model::{Event, Outcome, RequestClass, RequestId, ServerId};
+use crate::model::{Event, RequestClass, RequestId, ServerId};
 use crate::net::{SocketEvent, SocketReactor, TimerWheel, Token};
 use crate::requests::{FrontendId, RequestTable};
 use sparbank_time::MonotonicTime;
@@ -108,13 +108,16 @@
     );
 
     /// Handles input that has already arrived from the server of an attempt that is about to time out. The event loop
-    /// calls this before [`cancel_attempt`](Frontend::cancel_attempt), so that an answer already received is not
-    /// discarded.
+    /// calls this before [`on_attempt_timeout`](Frontend::on_attempt_timeout), so that an answer already received is
+    /// not discarded.
     fn read_answer(&mut self, _ctx: &mut FrontendContext, _request_id: RequestId) {}
 
-    /// Cancels the attempt of a request and returns its outcome. An attempt whose request was not sent completely
-    /// cannot have run.
-    fn cancel_attempt(&mut self, ctx: &mut FrontendContext, request_id: RequestId) -> Outcome;
+    /// Called when the time-out of an attempt has elapsed: cancels the attempt and reports its end to the request
+    /// table. Only the frontend knows whether the request can be sent again.
+    fn on_attempt_timeout(&mut self, ctx: &mut FrontendContext, request_id: RequestId);
+
+    /// Cancels the attempt of a request that has already ended in the request table. No attempt follows.
+    fn cancel_attempt(&mut self, ctx: &mut FrontendContext, request_id: RequestId);
 
     /// Sends the final answer "rejected" and advises the client to retry after `retry_after`.
     fn reject(&mut self, ctx: &mut FrontendContext, request_id: RequestId, retry_after: Duration);
--- a/src/frontend/text/mod.rs
+++ b/src/frontend/text/mod.rs
@@ -43,7 +43,7 @@
 mod unresponsive_servers;
 
 use super::{Frontend, FrontendContext, TransferredConnection};
-use crate::model::{Outcome, RequestId, ServerId};
+use crate::model::{RequestId, ServerId};
 use crate::net::{SocketEvent, SocketEventKind, Token};
 use awaiting_clients::AwaitingClients;
 use client_input::{on_client_event, on_half_closed_timeout};
@@ -191,8 +191,13 @@
         attempt::start(&mut self.sessions, ctx, request_id, server, timeout);
     }
 
-    fn cancel_attempt(&mut self, ctx: &mut FrontendContext, request_id: RequestId) -> Outcome {
-        attempt::cancel(&mut self.sessions, ctx, request_id)
+    fn cancel_attempt(&mut self, ctx: &mut FrontendContext, request_id: RequestId) {
+        attempt::cancel(&mut self.sessions, ctx, request_id);
+    }
+
+    fn on_attempt_timeout(&mut self, ctx: &mut FrontendContext, request_id: RequestId) {
+        let outcome = attempt::cancel(&mut self.sessions, ctx, request_id);
+        ctx.requests.on_attempt_ended(ctx.now, request_id, outcome);
     }
 
     fn on_connected(&mut self, ctx: &mut FrontendContext, token: Token) {
--- a/src/frontend/text/tests.rs
+++ b/src/frontend/text/tests.rs
@@ -5,7 +5,7 @@
 use crate::config::Config;
 use crate::discovery::EndpointRegistry;
 use crate::frontend::{Frontend, FrontendContext, TimerEvent, TEXT_FRONTEND};
-use crate::model::{Outcome, RequestId};
+use crate::model::RequestId;
 use crate::net::{SocketOwner, SocketReactor, TimerWheel};
 use crate::requests::{Command, RequestTable};
 use sparbank_time::{MonotonicTime, WallTime};
@@ -202,9 +202,10 @@
     fn time_out(&mut self, request_id: RequestId) {
         self.with_frontend(|frontend, ctx| frontend.read_answer(ctx, request_id));
         if self.requests.frontend_of_attempt(request_id, 1).is_some() {
-            let outcome = self.with_frontend(|frontend, ctx| frontend.cancel_attempt(ctx, request_id));
-            assert_eq!(outcome, Outcome::Timeout);
-            self.requests.on_attempt_ended(self.now, request_id, outcome);
+            let timeouts = |fixture: &Self| fixture.requests.counters().attempt_timeout;
+            let before = timeouts(self);
+            self.with_frontend(|frontend, ctx| frontend.on_attempt_timeout(ctx, request_id));
+            assert_eq!(timeouts(self), before + 1);
         }
     }
 }
--- a/src/node/executor.rs
+++ b/src/node/executor.rs
@@ -45,7 +45,7 @@
                 self.start_attempt(now, frontend, request_id, server, timeout);
             }
             Command::CancelAttempt { frontend, request_id } => {
-                self.cancel_attempt(frontend, request_id);
+                self.host.call(frontend, |frontend, ctx| frontend.cancel_attempt(ctx, request_id));
             }
             Command::Reject { frontend, request_id, retry_after } => {
                 let retry_after_ms = retry_after.as_millis_u64();
@@ -91,13 +91,7 @@
         self.host.call(frontend, |frontend, ctx| frontend.start_attempt(ctx, request_id, server, timeout));
     }
 
-    /// Cancels the attempt of a request at its frontend. Returns the attempt's outcome.
-    fn cancel_attempt(&mut self, frontend: FrontendId, request_id: RequestId) -> Outcome {
-        let outcome = self.host.call(frontend, |frontend, ctx| frontend.cancel_attempt(ctx, request_id));
-        outcome.unwrap_or(Outcome::Cancelled)
-    }
-
-    /// Cancels an attempt whose time-out has elapsed, unless it has already ended.
+    /// Has the frontend end an attempt whose time-out has elapsed, unless it has already ended.
     pub(super) fn on_attempt_timeout(&mut self, request_id: RequestId, attempt: u32) {
         let Some(frontend) = self.host.state.requests.frontend_of_attempt(request_id, attempt) else {
             return;
@@ -105,9 +99,7 @@
         self.host.call(frontend, |frontend, ctx| frontend.read_answer(ctx, request_id));
         // If the answer had already arrived, reading it has ended the attempt.
         if let Some(frontend) = self.host.state.requests.frontend_of_attempt(request_id, attempt) {
-            let outcome = self.cancel_attempt(frontend, request_id);
-            let now = self.host.state.now();
-            self.host.state.requests.on_attempt_ended(now, request_id, outcome);
+            self.host.call(frontend, |frontend, ctx| frontend.on_attempt_timeout(ctx, request_id));
         }
     }
 
--- a/src/rules/violation.rs
+++ b/src/rules/violation.rs
@@ -12,6 +12,9 @@
     /// An established session was ended without `MOVE` while its client and its server were still connected.
     #[error("cut-off")]
     CutOff,
+    /// An attempt was to be made with a message whose start was no longer buffered.
+    #[error("retried-without-start")]
+    RetriedWithoutStart,
     /// The process ended with open requests or connections.
     #[error("open-at-exit")]
     OpenAtExit,
--- a/tests/amqp_large_messages.rs
+++ b/tests/amqp_large_messages.rs
@@ -3,8 +3,8 @@
 use rstest::rstest;
 use sparbank_amqp::{Attach, Flow, Performative, State, Tag, Transfer};
 use sparbank_test_support::{
-    accept_any, counter_value, listener, message_with_key, read_until, AmqpPeer, Peer, ReceivedMessage,
-    TestNode,
+    accept_any, counter_value, listener, message_with_key, read_until, try_accept, AmqpPeer, NextFrame, Peer,
+    ReceivedMessage, TestNode,
 };
 use std::collections::HashMap;
 use std::time::Duration;
@@ -102,6 +102,30 @@
     }
 }
 
+/// Regression: after a time-out, the end of a message whose start was discarded was sent to another server as a message
+/// of its own, and the client was told `accepted`.
+#[rstest]
+#[case::sent_completely(10_000)]
+#[case::partly_sent(40)]
+fn a_message_without_its_start_is_not_sent_again_after_a_time_out(#[case] window_frames: u32) {
+    let bench = start_bench(2);
+    let mut client = connect_client(&bench);
+    client.deliver_in_transfers(0, &message_with_key(1_500, "7f3a", &vec![7; 200_000]), 10_000);
+    let (silent, peer) = accept_any(&bench.servers);
+    let mut server = AmqpPeer::server(peer, window_frames, 4096);
+    server.accept_sending_link(10, window_frames);
+    let reading = std::thread::spawn(move || while !matches!(server.read_frame(), NextFrame::Ended) {});
+    assert!(matches!(client.receive_delivery_state(), State::Modified { delivery_failed: true, .. }));
+    assert!(try_accept(&bench.servers[1 - silent]).is_none(), "the message is sent to another server");
+    let counters = bench.stop();
+    assert_eq!(
+        ["sent", "failed", "served"].map(|name| counter_value(&counters, name)),
+        [1, 1, 0],
+        "one attempt, and the client is told that it failed"
+    );
+    reading.join().expect("the server reads until the node ends");
+}
+
 #[rstest]
 #[case::by_disconnecting(false)]
 #[case::by_an_abort(true)]
