Flush a server again only if the connection that was full has room now

Cause: the flush loop went on while one connection of a server was full and any other had room, which changes nothing from one round to the next. Change: the full connection itself must have room, so that each round sends.

--- a/src/counters.rs
+++ b/src/counters.rs
@@ -97,6 +97,10 @@
     pub admin_rejected: u64,
     /// Admin calls that were not received completely.
     pub admin_incomplete: u64,
+    /// Iterations of the event loop that took longer than [`MAX_STALL`](crate::model::MAX_STALL).
+    pub slow_iterations: u64,
+    /// Iterations of the event loop that stopped at the limit on their work. The expected value is zero.
+    pub unfinished_iterations: u64,
 }
 
 impl Counters {
@@ -117,7 +121,7 @@
     }
 
     /// Returns the name and value of every counter, in the order of the log line.
-    fn entries(&self) -> [(&'static str, u64); 45] {
+    fn entries(&self) -> [(&'static str, u64); 47] {
         [
             ("requests", self.requests),
             ("resumed", self.resumed),
@@ -164,6 +168,8 @@
             ("admin_accepted", self.admin_accepted),
             ("admin_rejected", self.admin_rejected),
             ("admin_incomplete", self.admin_incomplete),
+            ("slow_iterations", self.slow_iterations),
+            ("unfinished_iterations", self.unfinished_iterations),
         ]
     }
 }
--- a/src/frontend/amqp/delivery_requests/mod.rs
+++ b/src/frontend/amqp/delivery_requests/mod.rs
@@ -22,6 +22,7 @@
 use super::replies::failed_state;
 use super::servers::Servers;
 use crate::frontend::FrontendContext;
+use crate::log_throttle::LogThrottle;
 use crate::model::{Outcome, RequestId, ServerId};
 use crate::net::Token;
 use crate::rules::{Violation, ViolationContext};
@@ -29,9 +30,6 @@
 use sparbank_time::MonotonicTime;
 use std::time::Duration;
 
-/// The shortest interval between two warnings about a full buffer.
-const BUFFER_WARNING_INTERVAL: Duration = Duration::from_secs(1);
-
 /// All requests that clients sent as deliveries.
 #[derive(Default)]
 pub struct DeliveryRequests {
@@ -43,8 +41,7 @@
     unknown_deliveries: u64,
     /// Deliveries that ended because their clients did not complete them in time.
     expired_incomplete: u64,
-    /// When the last warning about a full buffer was logged.
-    buffer_warned_at: Option<MonotonicTime>,
+    buffer_warning: LogThrottle,
 }
 
 /// The values of this module for the AMQP counter line.
@@ -87,14 +84,13 @@
         self.deliveries.buffer()
     }
 
-    /// Logs which client holds the most of the buffered messages after they have reached their limit, at most once in
-    /// [`BUFFER_WARNING_INTERVAL`].
+    /// Logs which client holds the most of the buffered messages after they have reached their limit, not more often
+    /// than [`LogThrottle`] allows.
     pub fn warn_buffer_full(&mut self, now: MonotonicTime, clients: &mut Clients, config: &AmqpConfig) {
-        if self.buffer_warned_at.is_some_and(|at| now < at + BUFFER_WARNING_INTERVAL) {
+        let Some(largest) = self.buffer().largest_client() else { return };
+        if !self.buffer_warning.may_log(now) {
             return;
         }
-        let Some(largest) = self.buffer().largest_client() else { return };
-        self.buffer_warned_at = Some(now);
         let client = clients.get(largest.token);
         let container = client.as_ref().map(|client| client.conn.peer().container.as_str());
         tracing::warn!(
--- a/src/frontend/amqp/mod.rs
+++ b/src/frontend/amqp/mod.rs
@@ -39,7 +39,7 @@
 
 pub use users::{add_user, Rights};
 
-use super::{Frontend, FrontendContext, FrontendError, FrontendSetup, OptionalFrontend};
+use super::{FlushStatus, Frontend, FrontendContext, FrontendError, FrontendSetup, OptionalFrontend};
 use crate::model::{RequestId, ServerId};
 use crate::net::{SocketEvent, SocketOwner, Token};
 use crate::requests::FrontendId;
@@ -60,6 +60,10 @@
 use std::any::Any;
 use std::time::Duration;
 
+/// How often both sides are flushed in one iteration of the event loop. More rounds than the buffered messages need
+/// are a fault, and must not keep the node from its other sockets.
+const MAX_FLUSH_ROUNDS: usize = 1_000;
+
 /// The entry that enables this frontend: its name, how its configuration file is read, and how it is opened.
 pub const OPTIONAL_FRONTEND: OptionalFrontend = OptionalFrontend {
     name: "amqp",
@@ -239,14 +243,18 @@
         self.clients.replenish_all_credit(&self.config, self.requests.buffer());
     }
 
-    fn flush(&mut self, ctx: &mut FrontendContext) {
+    fn flush(&mut self, ctx: &mut FrontendContext) -> FlushStatus {
         // Writing to one side can free capacity on the other, so both are flushed until neither has pending output.
-        while self.servers.is_dirty() || self.clients.is_dirty() {
+        for _ in 0..MAX_FLUSH_ROUNDS {
+            if !self.servers.is_dirty() && !self.clients.is_dirty() {
+                return FlushStatus::Complete;
+            }
             self.server_events(ctx).flush();
             let mut client_events = self.client_events(ctx);
             client_events.resume_paused_reads();
             client_events.flush();
         }
+        FlushStatus::Incomplete
     }
 
     fn on_migration_step(&mut self, ctx: &mut FrontendContext) {
--- a/src/frontend/amqp/servers/mod.rs
+++ b/src/frontend/amqp/servers/mod.rs
@@ -225,17 +225,18 @@
     ) -> FlushResult {
         let mut result = FlushResult::default();
         for server_id in std::mem::take(&mut self.dirty) {
-            let is_connection_full = self.send_waiting(ctx, config, server_id, deliveries, &mut result);
-            let has_capacity = self.write_pending(ctx, server_id);
-            // If the socket accepted everything immediately, no event will report that it is writable again.
-            if is_connection_full && has_capacity {
+            let full = self.send_waiting(ctx, config, server_id, deliveries, &mut result);
+            self.write_pending(ctx, server_id);
+            // If the socket of a full connection accepted its output immediately, no event will report that it is
+            // writable again. The next round sends on this connection, so each round leaves less to send.
+            if full.iter().any(|token| ctx.net.pending_output_bytes(*token) < MAX_UNWRITTEN_BYTES) {
                 self.mark_dirty(server_id);
             }
         }
         result
     }
 
-    /// Sends the queued attempts of a server. Returns true if there is more to send but a connection is full.
+    /// Sends the queued attempts of a server. Returns the connections that are full and have more to send.
     fn send_waiting(
         &mut self,
         ctx: &mut FrontendContext,
@@ -243,8 +244,8 @@
         server_id: ServerId,
         deliveries: &mut Deliveries,
         result: &mut FlushResult,
-    ) -> bool {
-        let Some(server) = self.by_id.get_mut(&server_id) else { return false };
+    ) -> Vec<Token> {
+        let Some(server) = self.by_id.get_mut(&server_id) else { return Vec::new() };
         let FlushResult { ended, attached } = result;
         let connections = &mut self.connections;
         server.is_dirty = false;
@@ -252,7 +253,7 @@
         attached.extend(placer.attach_waiting_forwarders(ctx, server, connections, ended));
         placer.add_sending_links(ctx, server, connections, ended);
         if server.classes.is_empty() {
-            return false;
+            return Vec::new();
         }
         let mut sender = DeliverySender {
             ctx: &mut *ctx,
@@ -263,20 +264,17 @@
             encode_buffer: &mut self.encode_buffer,
             ended: &mut *ended,
         };
-        let is_connection_full = sender.send_all(server, connections);
+        let full = sender.send_all(server, connections);
         placer.add_sending_links(ctx, server, connections, ended);
-        is_connection_full
+        full
     }
 
-    /// Moves the pending output of a server's connections to their sockets. Returns true if one of them accepts more.
-    fn write_pending(&mut self, ctx: &mut FrontendContext, server_id: ServerId) -> bool {
-        let Some(server) = self.by_id.get(&server_id) else { return false };
-        let mut has_capacity = false;
+    /// Moves the pending output of a server's connections to their sockets.
+    fn write_pending(&mut self, ctx: &mut FrontendContext, server_id: ServerId) {
+        let Some(server) = self.by_id.get(&server_id) else { return };
         for token in &server.connections {
             self.connections.write_pending(ctx, *token);
-            has_capacity |= ctx.net.pending_output_bytes(*token) < MAX_UNWRITTEN_BYTES;
         }
-        has_capacity
     }
 
     /// Closes and removes a connection. Its attempts end; an attempt can have run only if its last octet was written
--- a/src/frontend/amqp/servers/sending.rs
+++ b/src/frontend/amqp/servers/sending.rs
@@ -30,11 +30,13 @@
     Ended(RequestId, Outcome),
 }
 
-/// The result of sending one chunk on each link of a server.
-#[derive(Default)]
-struct RoundResult {
-    has_progressed: bool,
-    is_connection_full: bool,
+/// Whether a round of one chunk per link has sent anything.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RoundResult {
+    /// Octets were passed to a connection, or an attempt left the queue.
+    Progress,
+    /// No link can send.
+    Idle,
 }
 
 /// Sends the deliveries that are queued for one server.
@@ -56,23 +58,23 @@
 }
 
 impl DeliverySender<'_, '_> {
-    /// Sends on all links in rounds of one chunk per link, until no link can send. Returns true if there is more to
-    /// send but a connection is full.
-    pub fn send_all(&mut self, server: &mut Server, connections: &mut ServerConnections) -> bool {
+    /// Sends on all links in rounds of one chunk per link, until no link can send: each round leaves fewer octets or
+    /// fewer waiting attempts. Returns the connections that are full and have more to send.
+    pub fn send_all(&mut self, server: &mut Server, connections: &mut ServerConnections) -> Vec<Token> {
         server.rotation = server.rotation.wrapping_add(1);
-        let mut is_connection_full = false;
-        loop {
-            let round = self.send_round(server, connections);
-            is_connection_full |= round.is_connection_full;
-            if !round.has_progressed {
-                return is_connection_full;
-            }
-        }
+        let mut full = Vec::new();
+        while self.send_round(server, connections, &mut full) == RoundResult::Progress {}
+        full
     }
 
-    /// Sends one chunk on each link of each class.
-    fn send_round(&mut self, server: &mut Server, connections: &mut ServerConnections) -> RoundResult {
-        let mut round = RoundResult::default();
+    /// Sends one chunk on each link of each class. Adds the connections that are full and have more to send to `full`.
+    fn send_round(
+        &mut self,
+        server: &mut Server,
+        connections: &mut ServerConnections,
+        full: &mut Vec<Token>,
+    ) -> RoundResult {
+        let mut round = RoundResult::Idle;
         for offset in 0..server.classes.len() {
             let class = (server.rotation + offset) % server.classes.len();
             let ClassQueue { waiting, links } = &mut server.classes[class];
@@ -81,11 +83,12 @@
                 let Some(connection) = connections.get_mut(sending_link.link.token) else { continue };
                 match self.send_chunk(waiting, sending_link, is_reserved, &mut connection.conn) {
                     ChunkResult::Idle => {}
-                    ChunkResult::ConnectionFull => round.is_connection_full = true,
-                    ChunkResult::Progress => round.has_progressed = true,
+                    ChunkResult::ConnectionFull if full.contains(&sending_link.link.token) => {}
+                    ChunkResult::ConnectionFull => full.push(sending_link.link.token),
+                    ChunkResult::Progress => round = RoundResult::Progress,
                     ChunkResult::Ended(request_id, outcome) => {
                         self.ended.push(EndedAttempt::Delivery { request_id, outcome });
-                        round.has_progressed = true;
+                        round = RoundResult::Progress;
                     }
                 }
             }
--- a/src/frontend/api.rs
+++ b/src/frontend/api.rs
@@ -61,6 +61,15 @@
     AdminTimeout(Token),
 }
 
+/// Whether a frontend has done all that it could in one call of [`Frontend::flush`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FlushStatus {
+    /// Nothing is left that could be done now.
+    Complete,
+    /// A limit on the work of one iteration of the event loop was reached. The next iteration continues.
+    Incomplete,
+}
+
 /// A parsed configuration file, which its frontend downcasts to the concrete type.
 pub type FrontendConfig = Box<dyn Any>;
 
@@ -95,8 +104,11 @@
     /// Called periodically, for checks without a timer of their own.
     fn on_tick(&mut self, _ctx: &mut FrontendContext) {}
 
-    /// Called after each batch of balancer decisions: writes the output buffered for each socket at once.
-    fn flush(&mut self, _ctx: &mut FrontendContext) {}
+    /// Called after each batch of balancer decisions: writes the output buffered for each socket at once. A frontend
+    /// that repeats steps here limits their number, so that the other sockets are served.
+    fn flush(&mut self, _ctx: &mut FrontendContext) -> FlushStatus {
+        FlushStatus::Complete
+    }
 
     /// Starts an attempt of a request, which may take at most `timeout`. A request has at most one attempt at a time.
     fn start_attempt(
--- a/src/frontend/mod.rs
+++ b/src/frontend/mod.rs
@@ -13,6 +13,8 @@
 mod frontends;
 mod optional;
 
-pub use api::{Frontend, FrontendContext, TimerEvent, TransferredConnection, ANSWER_MARGIN, TEXT_FRONTEND};
+pub use api::{
+    FlushStatus, Frontend, FrontendContext, TimerEvent, TransferredConnection, ANSWER_MARGIN, TEXT_FRONTEND,
+};
 pub use frontends::{optional_frontend, Frontends};
 pub use optional::{FrontendError, FrontendFiles, FrontendSetup, OptionalFrontend, ParsedFrontendFile};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -96,6 +96,7 @@
 mod json;
 mod lifecycle;
 mod log;
+mod log_throttle;
 pub mod model;
 mod net;
 mod node;
--- a/src/node/event_loop.rs
+++ b/src/node/event_loop.rs
@@ -5,6 +5,7 @@
 use super::drain::{self, DrainManager};
 use super::executor::Executor;
 use super::handover::{self, HandoverManager};
+use super::iteration_timing::{IterationTiming, SlowIterationLog};
 use super::quota_leases::QuotaLeases;
 use super::reports::{self, FlowReporter};
 use super::signals::{SignalRequest, SignalSockets};
@@ -27,6 +28,7 @@
     pub(super) leases: QuotaLeases,
     pub(super) flow_reporter: FlowReporter,
     pub(super) signals: SignalSockets,
+    pub(super) slow_iterations: SlowIterationLog,
     /// The files of the optional frontends, read again at each configuration reload.
     pub(super) frontend_files: FrontendFiles,
 }
@@ -60,21 +62,37 @@
     }
 
     fn run_iteration(&mut self) -> Result<(), ServeError> {
+        let is_unfinished = self.executor.has_unfinished_work();
         let state = &mut self.executor.host.state;
         let now = state.now();
-        let timeout = state.wheel.time_until_next(now);
+        let timeout = if is_unfinished { Duration::ZERO } else { state.wheel.time_until_next(now) };
         let events = state.net.poll(now, timeout).map_err(ServeError::Poll)?;
+        let (started_at, socket_events) = (state.now(), events.len());
         for event in events {
             self.on_socket_event(event);
         }
         let state = &mut self.executor.host.state;
-        for timer in state.wheel.take_expired(state.clock.now()) {
+        let sockets_handled_at = state.now();
+        for timer in state.wheel.take_expired(sockets_handled_at) {
             self.on_timer(timer);
         }
+        let timers_handled_at = self.executor.host.state.now();
         self.executor.run_balancer();
+        let commands_executed_at = self.executor.host.state.now();
         self.handover.transfer_connections(&mut self.executor, &mut self.drain);
         self.send_on_connected();
-        reports::trace_attempts(&mut self.executor.host.state);
+        let state = &mut self.executor.host.state;
+        reports::trace_attempts(state);
+        let ended_at = state.now();
+        let timing = IterationTiming {
+            socket_events,
+            started_at,
+            sockets_handled_at,
+            timers_handled_at,
+            commands_executed_at,
+            ended_at,
+        };
+        self.slow_iterations.report(state, &timing);
         Ok(())
     }
 
@@ -110,7 +128,7 @@
     /// Writes to the connections that were established in this iteration. The watch is read again first: the process
     /// may have been stalled since the poll, and must respect a server drain that was announced in the meantime.
     fn send_on_connected(&mut self) {
-        let Executor { host, endpoints } = &mut self.executor;
+        let Executor { host, endpoints, .. } = &mut self.executor;
         let connected = host.state.net.take_established();
         if connected.is_empty() {
             return;
@@ -146,7 +164,7 @@
     }
 
     fn on_tick(&mut self) {
-        let Executor { host, endpoints } = &mut self.executor;
+        let Executor { host, endpoints, .. } = &mut self.executor;
         let now = host.state.observe_clocks();
         endpoints.on_tick(host, now);
         host.for_each(|frontend, ctx| frontend.on_tick(ctx));
--- a/src/node/executor.rs
+++ b/src/node/executor.rs
@@ -2,34 +2,86 @@
 
 use super::endpoint_watch::EndpointWatch;
 use super::frontend_host::FrontendHost;
-use crate::frontend::{TimerEvent, TEXT_FRONTEND};
+use crate::frontend::{FlushStatus, TimerEvent, TEXT_FRONTEND};
+use crate::log_throttle::LogThrottle;
 use crate::model::{Event, Outcome, RequestId, ServerId};
 use crate::requests::{Command, FrontendId};
 use sparbank_time::{DurationExt, MonotonicTime};
 use std::time::Duration;
 
+/// How often the balancer runs in one iteration of the event loop. More rounds than the attempts of the pending requests
+/// need are a fault, and must not keep the node from its sockets.
+const MAX_BALANCER_ROUNDS: usize = 1_000;
+
 /// Owns what the request table's commands act on: the frontends, their state and the endpoint watch.
 pub(super) struct Executor {
     pub(super) host: FrontendHost,
     pub(super) endpoints: EndpointWatch,
+    /// Whether the last run of the balancer stopped at a limit.
+    has_unfinished_work: bool,
+    unfinished_log: LogThrottle,
+}
+
+/// Why a run of the balancer stopped before its work was done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum UnfinishedWork {
+    /// Events are still pending after [`MAX_BALANCER_ROUNDS`].
+    Events,
+    /// A frontend has reached its own limit on the work of one iteration.
+    Output,
 }
 
 impl Executor {
+    pub(super) fn new(host: FrontendHost, endpoints: EndpointWatch) -> Executor {
+        Executor { host, endpoints, has_unfinished_work: false, unfinished_log: LogThrottle::default() }
+    }
+
+    /// Whether [`Executor::run_balancer`] stopped before its work was done. It then has to be called again without
+    /// waiting for an event.
+    pub(super) fn has_unfinished_work(&self) -> bool {
+        self.has_unfinished_work
+    }
+
     /// Runs the balancer on all pending events, executes its commands, and has the frontends flush their buffers.
-    /// Repeats this until no event is pending.
+    /// Repeats this until no event is pending, or up to a limit.
     pub(super) fn run_balancer(&mut self) {
-        loop {
+        let result = self.run_rounds();
+        self.has_unfinished_work = result.is_err();
+        if let Err(work) = result {
+            self.report_unfinished(work);
+        }
+    }
+
+    fn run_rounds(&mut self) -> Result<(), UnfinishedWork> {
+        for _ in 0..MAX_BALANCER_ROUNDS {
             let now = self.host.state.now();
             let commands = self.host.state.requests.decide(now);
             self.execute_all(now, commands);
             if self.host.state.requests.has_pending_events() {
                 continue;
             }
-            self.host.for_each(|frontend, ctx| frontend.flush(ctx));
+            let mut status = FlushStatus::Complete;
+            self.host.for_each(|frontend, ctx| {
+                if frontend.flush(ctx) == FlushStatus::Incomplete {
+                    status = FlushStatus::Incomplete;
+                }
+            });
+            if status == FlushStatus::Incomplete {
+                return Err(UnfinishedWork::Output);
+            }
             if !self.host.state.requests.has_pending_events() {
-                return;
+                return Ok(());
             }
         }
+        Err(UnfinishedWork::Events)
+    }
+
+    fn report_unfinished(&mut self, work: UnfinishedWork) {
+        let state = &mut self.host.state;
+        state.requests.counters_mut().unfinished_iterations += 1;
+        if self.unfinished_log.may_log(state.now()) {
+            tracing::warn!(?work, "iteration of the event loop stopped at its limit");
+        }
     }
 
     /// Executes commands of the request table in order.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -32,6 +32,7 @@
 mod executor;
 mod frontend_host;
 mod handover;
+mod iteration_timing;
 mod options;
 mod prepared;
 mod quota_leases;
--- a/src/node/startup.rs
+++ b/src/node/startup.rs
@@ -9,6 +9,7 @@
 use super::executor::Executor;
 use super::frontend_host::FrontendHost;
 use super::handover::HandoverManager;
+use super::iteration_timing::SlowIterationLog;
 use super::quota_leases::QuotaLeases;
 use super::reports::FlowReporter;
 use super::shortage_retry::{is_shortage, retry_on_shortage};
@@ -78,6 +79,7 @@
         leases: QuotaLeases::new(lease_transport),
         flow_reporter: FlowReporter::new(flow_export),
         signals,
+        slow_iterations: SlowIterationLog::default(),
         frontend_files: prepared.frontend_files,
     };
     node.initialize(predecessor.snapshot.as_ref());
@@ -217,6 +219,6 @@
         let Startup { clock, config, net, requests, registry, discovery } = self;
         let lifecycle = Lifecycle::default();
         let state = NodeState { clock, net, requests, registry, wheel, config, lifecycle };
-        Executor { host: FrontendHost::new(state, frontends), endpoints: EndpointWatch::new(discovery) }
+        Executor::new(FrontendHost::new(state, frontends), EndpointWatch::new(discovery))
     }
 }
