Ignore what follows the close_notify of a TLS client instead of looping on it

What callers saw: after one TLS client sent close_notify and then more octets, the node answered nobody. Cause: the decryption loop repeats until all octets are consumed, and rustls consumes none after close_notify. The encryption loop had the same form with rustls' buffer full (by reading). Change: decryption ends there; rustls has no limit of its own, so that each write is accepted whole.

--- a/src/frontend/tls/connection.rs
+++ b/src/frontend/tls/connection.rs
@@ -27,17 +27,24 @@
     /// # Errors
     /// If rustls cannot create the connection.
     pub fn new(config: &Arc<ServerConfig>) -> Result<TlsConnection, TlsError> {
-        Ok(TlsConnection(Box::new(ServerConnection::new(config.clone())?)))
+        let mut connection = ServerConnection::new(config.clone())?;
+        // The owner limits its output itself; with a limit, rustls would accept only a part of it.
+        connection.set_buffer_limit(None);
+        Ok(TlsConnection(Box::new(connection)))
     }
 
     /// Decrypts bytes received from the peer and appends the plaintext. All of `ciphertext` is consumed; rustls
-    /// buffers at most one incomplete record (16 KiB).
+    /// buffers at most one incomplete record (16 KiB). What follows the peer's `close_notify` is ignored (RFC 8446,
+    /// section 6.1).
     ///
     /// # Errors
     /// If the peer violates the TLS protocol.
     pub fn decrypt(&mut self, mut ciphertext: &[u8], plaintext: &mut Vec<u8>) -> Result<(), TlsError> {
         while !ciphertext.is_empty() {
-            self.0.read_tls(&mut ciphertext)?;
+            let consumed = self.0.read_tls(&mut ciphertext)?;
+            if consumed == 0 {
+                return Ok(());
+            }
             self.0.process_new_packets()?;
             self.read_plaintext(plaintext)?;
         }
@@ -57,20 +64,11 @@
     }
 
     /// Encrypts `plaintext` and appends the bytes to send, including pending handshake messages.
-    pub fn encrypt(&mut self, mut plaintext: &[u8], ciphertext: &mut Vec<u8>) {
-        loop {
-            // Writing to a vector cannot fail. rustls accepts about 64 KiB of plaintext at a time.
-            let accepted = self.0.writer().write(plaintext).unwrap_or(plaintext.len());
-            plaintext = &plaintext[accepted..];
-            while self.0.wants_write() {
-                if self.0.write_tls(ciphertext).is_err() {
-                    return;
-                }
-            }
-            if plaintext.is_empty() {
-                return;
-            }
-        }
+    pub fn encrypt(&mut self, plaintext: &[u8], ciphertext: &mut Vec<u8>) {
+        // Fails only after `close_notify`, when peers ignore what follows.
+        let _ = self.0.writer().write_all(plaintext);
+        // Writing to a vector cannot fail.
+        while self.0.wants_write() && self.0.write_tls(ciphertext).is_ok_and(|count| count > 0) {}
     }
 
     /// Queues a `close_notify` alert; the next call of [`TlsConnection::encrypt`] returns its bytes.
--- a/tests/amqp_tls.rs
+++ b/tests/amqp_tls.rs
@@ -166,6 +166,22 @@
     assert!(connect(&authority, addr, "node.test", None, plain).is_ok());
 }
 
+/// Regression: octets that follow a client's `close_notify` kept the node in an endless loop, and nobody was served.
+#[rstest]
+fn octets_after_a_close_notify_do_not_occupy_the_node(authority: TestAuthority) {
+    let (mut bench, addr) = start_bench(&authority.folder, "");
+    let mut stream = connect(&authority, addr, "node.test", None, Credentials::Anonymous).expect("opened");
+    stream.sock.set_nodelay(true).expect("accepted");
+    stream.conn.send_close_notify();
+    stream.flush().expect("written");
+    let ping = |addr: SocketAddr| Peer::connect(addr).send("PING\r\n").read_line();
+    // The answers show that the node has read what was sent before.
+    assert_eq!(ping(bench.text_addr), "PONG");
+    stream.sock.write_all(&[23, 3, 3, 0, 1, 0]).expect("written");
+    assert_eq!([ping(bench.text_addr), ping(bench.text_addr)], ["PONG", "PONG"]);
+    assert_eq!(bench.counter("unfinished_iterations"), 0);
+}
+
 #[rstest]
 fn plain_is_not_offered_without_tls(authority: TestAuthority) {
     let (bench, _) = start_bench(&authority.folder, &create_users_setting(&authority));
