Discard the output of a lost server connection in the call that judges it

Cause: attempts that were not written when a connection was given up ended as never run, and the close then wrote them. Change: close_discarding_output discards and returns what was written, so that nothing can follow the judgement. An attempt on a link that the server detaches stays in the output of its open connection: it may have run.

--- a/src/frontend/amqp/deliveries.rs
+++ b/src/frontend/amqp/deliveries.rs
@@ -236,16 +236,29 @@
         &mut self.buffer
     }
 
-    /// The outcome of an attempt whose link or connection was lost after `written` octets of the connection's output
-    /// had been written. The request may have run if its last octet was written.
-    pub fn interrupted_outcome(&self, request_id: RequestId, written: u64) -> Outcome {
-        let attempt = self.get(request_id).and_then(Delivery::attempt);
-        match attempt.map(|attempt| &attempt.stage) {
+    /// The outcome of an attempt whose connection was closed after `written` octets of its output had been written, and
+    /// the others discarded. The request may have run if its last octet was written.
+    pub fn outcome_of_closed_connection(&self, request_id: RequestId, written: u64) -> Outcome {
+        match self.attempt_stage(request_id) {
             Some(AttemptStage::Sent { end, .. }) if *end <= written => Outcome::Reset,
             _ => Outcome::ConnectFailed,
         }
     }
 
+    /// The outcome of an attempt whose link was lost while its connection stays open. What was passed to the connection
+    /// will be written, so the request may run if its last octet was passed.
+    pub fn outcome_of_lost_link(&self, request_id: RequestId) -> Outcome {
+        match self.attempt_stage(request_id) {
+            Some(AttemptStage::Sent { .. }) => Outcome::Reset,
+            _ => Outcome::ConnectFailed,
+        }
+    }
+
+    fn attempt_stage(&self, request_id: RequestId) -> Option<&AttemptStage> {
+        let attempt = self.get(request_id).and_then(Delivery::attempt)?;
+        Some(&attempt.stage)
+    }
+
     /// The requests whose attempt at one of these servers was not sent completely, in the order of their ids.
     pub fn unsent_at(&self, servers: &[ServerId]) -> Vec<RequestId> {
         let is_unsent = |attempt: &Attempt| {
--- a/src/frontend/amqp/delivery_requests/mod.rs
+++ b/src/frontend/amqp/delivery_requests/mod.rs
@@ -229,10 +229,9 @@
         &mut self,
         ctx: &mut FrontendContext,
         peers: &mut Peers<'_>,
-        token: Token,
         request_id: RequestId,
     ) {
-        let outcome = self.deliveries.interrupted_outcome(request_id, ctx.net.bytes_written(token));
+        let outcome = self.deliveries.outcome_of_lost_link(request_id);
         self.on_attempt_ended(ctx, peers, request_id, outcome);
     }
 
--- a/src/frontend/amqp/server_events.rs
+++ b/src/frontend/amqp/server_events.rs
@@ -105,7 +105,7 @@
                 }
             }
             Event::DeliveryLost { link, role: Role::Sender, key } if self.class_of(at(link)).is_some() => {
-                self.requests.on_delivery_lost(self.ctx, &mut self.peers, token, RequestId(key));
+                self.requests.on_delivery_lost(self.ctx, &mut self.peers, RequestId(key));
             }
             Event::Detached { link, error, .. } => self.on_link_detached(at(link), error.map(|error| *error)),
             _ => {}
--- a/src/frontend/amqp/servers/connection.rs
+++ b/src/frontend/amqp/servers/connection.rs
@@ -75,14 +75,14 @@
         forwarders
     }
 
-    /// Ends the attempts on this connection after its loss. `written` is the number of octets of the connection's
-    /// output that were written to the socket.
+    /// Ends the attempts on this connection after it was closed. `written` is the number of octets of its output that
+    /// were written to the socket; the others were discarded.
     pub fn end_attempts(&mut self, written: u64, deliveries: &Deliveries) -> Vec<EndedAttempt> {
         let mut ended = Vec::new();
         for AbandonedDelivery { link, role, key } in self.conn.abandon() {
             if let (Some(ServerLink::Sending(_)), Role::Sender) = (self.links.get(&link), role) {
                 let request_id = RequestId(key);
-                let outcome = deliveries.interrupted_outcome(request_id, written);
+                let outcome = deliveries.outcome_of_closed_connection(request_id, written);
                 ended.push(EndedAttempt::Delivery { request_id, outcome });
             }
         }
--- a/src/frontend/amqp/servers/mod.rs
+++ b/src/frontend/amqp/servers/mod.rs
@@ -277,8 +277,8 @@
         }
     }
 
-    /// Closes and removes a connection. Its attempts end; an attempt can have run only if its last octet was written
-    /// to the socket.
+    /// Closes and removes a connection, and discards its buffered output. Its attempts end; an attempt can have run only
+    /// if its last octet was written to the socket.
     pub fn on_connection_lost(
         &mut self,
         ctx: &mut FrontendContext,
@@ -286,8 +286,7 @@
         deliveries: &Deliveries,
     ) -> LostConnection {
         let mut lost = LostConnection::default();
-        let written = ctx.net.bytes_written(token);
-        ctx.net.close(token);
+        let written = ctx.net.close_discarding_output(token);
         let Some(mut connection) = self.connections.remove(token) else { return lost };
         lost.ended = connection.end_attempts(written, deliveries);
         lost.forwarders = connection.forwarders();
--- a/src/net/buffers.rs
+++ b/src/net/buffers.rs
@@ -72,6 +72,11 @@
         self.append_input(&chunk[..count]);
     }
 
+    /// Discards the output that is not written yet.
+    pub(super) fn discard_output(&mut self) {
+        self.output = Vec::new();
+    }
+
     /// Number of buffered output bytes.
     pub(super) fn pending_output_bytes(&self) -> usize {
         self.output.len()
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -316,6 +316,16 @@
         self.candidates.close(&mut self.sockets, token);
     }
 
+    /// Like [`SocketReactor::close`], but discards buffered output. Returns how many bytes of output were written in
+    /// all: no further byte will be, so the number tells for good what the peer may receive.
+    pub fn close_discarding_output(&mut self, token: Token) -> u64 {
+        let Some(socket) = self.sockets.store.get_mut(token) else { return 0 };
+        socket.buffers.discard_output();
+        let bytes_written = socket.buffers.bytes_written();
+        self.close(token);
+        bytes_written
+    }
+
     /// Like [`SocketReactor::close`], for a connection whose peer may still have to read much of its output: waits
     /// longer for the peer to close its side.
     pub fn close_after_delivery(&mut self, token: Token) {
