Bound the memory that the links of all AMQP clients hold together

Cause: links are bounded for a connection only, and an attach is held decoded, at many times its encoding. Change: max_link_memory bounds all links; at it a client attaches up to its fair share and is refused beyond it, with an error that names the setting. The count is that of the decoded values.

--- a/crates/amqp/src/composite.rs
+++ b/crates/amqp/src/composite.rs
@@ -16,6 +16,8 @@
     fn read_fields(fields: &mut FieldReader<'_>) -> Result<Self>;
     /// Encodes the fields in the order of the standard, with one call of `put` for each.
     fn write_fields(&self, out: &mut FieldWriter<'_>);
+    /// The octets of memory that the fields occupy beside the struct itself.
+    fn fields_heap_bytes(&self) -> usize;
 }
 
 /// Decodes the fields of a composite one by one.
@@ -140,6 +142,10 @@
     fn write(&self, out: &mut Vec<u8>) {
         write_composite(self, out);
     }
+
+    fn heap_bytes(&self) -> usize {
+        self.fields_heap_bytes()
+    }
 }
 
 /// A type that a field of a composite can have.
@@ -148,6 +154,10 @@
     fn read(reader: &mut Reader<'_>) -> Result<Self>;
     /// Encodes the field's value.
     fn write(&self, out: &mut Vec<u8>);
+    /// The octets of memory that the value occupies beside its own size.
+    fn heap_bytes(&self) -> usize {
+        0
+    }
 }
 
 /// Defines composite types whose fields are all optional on the wire: the structs and their [`Composite`]
@@ -177,6 +187,10 @@
                 fn write_fields(&self, out: &mut FieldWriter<'_>) {
                     $(out.put(&self.$field);)*
                 }
+
+                fn fields_heap_bytes(&self) -> usize {
+                    0 $(+ self.$field.as_ref().map_or(0, Field::heap_bytes))*
+                }
             }
         )*
     };
--- a/crates/amqp/src/error.rs
+++ b/crates/amqp/src/error.rs
@@ -103,6 +103,11 @@
         out.put(&self.description);
         out.put(&self.info);
     }
+
+    fn fields_heap_bytes(&self) -> usize {
+        let in_description = self.description.as_ref().map_or(0, Field::heap_bytes);
+        self.condition.capacity() + in_description + self.info.as_ref().map_or(0, Value::heap_bytes)
+    }
 }
 
 impl Field for Box<Error> {
--- a/crates/amqp/src/performative.rs
+++ b/crates/amqp/src/performative.rs
@@ -63,6 +63,11 @@
 }
 
 impl Attach {
+    /// The octets of memory that the attach and its fields occupy.
+    pub fn memory_bytes(&self) -> usize {
+        size_of::<Attach>() + self.fields_heap_bytes()
+    }
+
     /// Returns the keys of the unsettled map (2.7.3): the tags of the deliveries that the peer has not settled.
     pub fn unsettled_tags(&self) -> Vec<Tag> {
         let Some(Value::Map(pairs)) = &self.unsettled else { return Vec::new() };
--- a/crates/amqp/src/primitives.rs
+++ b/crates/amqp/src/primitives.rs
@@ -98,6 +98,9 @@
     fn write(&self, out: &mut Vec<u8>) {
         put_variable(out, format_code::STRING_8, self.as_bytes());
     }
+    fn heap_bytes(&self) -> usize {
+        self.capacity()
+    }
 }
 
 impl Field for Vec<u8> {
@@ -111,6 +114,9 @@
     fn write(&self, out: &mut Vec<u8>) {
         put_variable(out, format_code::BINARY_8, self);
     }
+    fn heap_bytes(&self) -> usize {
+        self.capacity()
+    }
 }
 
 impl Field for Box<Value> {
@@ -120,6 +126,9 @@
     fn write(&self, out: &mut Vec<u8>) {
         encode(self, out);
     }
+    fn heap_bytes(&self) -> usize {
+        size_of::<Value>() + Value::heap_bytes(self)
+    }
 }
 
 impl Field for Value {
@@ -130,6 +139,9 @@
     fn write(&self, out: &mut Vec<u8>) {
         encode(self, out);
     }
+    fn heap_bytes(&self) -> usize {
+        Value::heap_bytes(self)
+    }
 }
 
 /// A field that is a symbol.
@@ -149,6 +161,9 @@
     fn write(&self, out: &mut Vec<u8>) {
         put_variable(out, format_code::SYMBOL_8, self.0.as_bytes());
     }
+    fn heap_bytes(&self) -> usize {
+        self.0.capacity()
+    }
 }
 
 /// The maximum length of a delivery tag (standard, section 2.8.7).
--- a/crates/amqp/src/terminus.rs
+++ b/crates/amqp/src/terminus.rs
@@ -47,6 +47,13 @@
             Terminus::Other(value) => encode(value, out),
         }
     }
+    fn heap_bytes(&self) -> usize {
+        match self {
+            Terminus::Target(target) => target.heap_bytes(),
+            Terminus::Coordinator => 0,
+            Terminus::Other(value) => value.heap_bytes(),
+        }
+    }
 }
 
 composites! {
--- a/crates/amqp/src/value.rs
+++ b/crates/amqp/src/value.rs
@@ -57,6 +57,27 @@
 }
 
 impl Value {
+    /// The octets of memory that the value occupies beside its own size. A decoded value may occupy many times the
+    /// octets of its encoding.
+    pub fn heap_bytes(&self) -> usize {
+        let in_values = |values: &[Value]| values.iter().map(Value::heap_bytes).sum::<usize>();
+        match self {
+            Value::Binary(octets) => octets.capacity(),
+            Value::Text(text) | Value::Symbol(text) => text.capacity(),
+            Value::List(values) | Value::Array(values) => {
+                values.capacity() * size_of::<Value>() + in_values(values)
+            }
+            Value::Map(pairs) => {
+                let in_pair = |(key, value): &(Value, Value)| key.heap_bytes() + value.heap_bytes();
+                pairs.capacity() * size_of::<(Value, Value)>() + pairs.iter().map(in_pair).sum::<usize>()
+            }
+            Value::Described(descriptor, value) => {
+                2 * size_of::<Value>() + descriptor.heap_bytes() + value.heap_bytes()
+            }
+            _ => 0,
+        }
+    }
+
     /// Creates a described value with a numeric descriptor.
     pub fn described(code: u64, value: Value) -> Value {
         Value::Described(Box::new(Value::Ulong(code)), Box::new(value))
--- a/src/frontend/amqp/client_links.rs
+++ b/src/frontend/amqp/client_links.rs
@@ -8,6 +8,7 @@
 use super::delivery_requests::{DeliveryRequests, DetachedLink};
 use super::forwarding::Forwarding;
 use super::info::FrontendInfo;
+use super::link_memory::{receiving_link_bytes, sending_link_bytes};
 use super::nonce::nonce;
 use super::peers::Peers;
 use super::recovery::{LinkKey, RecoveryLimits, RetainedDelivery};
@@ -109,9 +110,14 @@
         class: Option<usize>,
     ) {
         let Some(key) = self.link_key(at) else { return };
-        let timeout = resume_timeout(&target, self.peers.config.recovery_limits());
-        let timeout_seconds = Some(timeout.as_secs() as u32).filter(|seconds| *seconds > 0);
+        let limits = self.peers.config.recovery_limits();
         let unsettled = attach.unsettled_tags();
+        let tags = unsettled.len().min(limits.max_settled_per_link);
+        if let Err(error) = self.reserve_link(at, sending_link_bytes(&key, tags)) {
+            return self.refuse(at, error);
+        }
+        let timeout = resume_timeout(&target, limits);
+        let timeout_seconds = Some(timeout.as_secs() as u32).filter(|seconds| *seconds > 0);
         let resumed = self.requests.on_link_attached(&self.peers, &key, at.token, timeout, &unsettled);
         let answer = Attach {
             snd_settle_mode: attach.snd_settle_mode,
@@ -136,6 +142,24 @@
         self.peers.clients.mark_dirty(at.token);
     }
 
+    /// Counts the memory of a link that a client attaches.
+    ///
+    /// # Errors
+    /// The limit on the links of all clients is reached. The error is the one to refuse the link with.
+    fn reserve_link(&mut self, at: ConnectionLink, bytes: usize) -> Result<(), Error> {
+        let max_bytes = self.peers.config.max_link_memory_bytes;
+        self.peers.clients.reserve_link(at, bytes, max_bytes).map_err(|full| {
+            self.ctx.requests.counters_mut().capacity_rejected += 1;
+            retry_error(condition::RESOURCE_LIMIT_EXCEEDED, &full.to_string(), RETRY_AFTER_MS)
+        })
+    }
+
+    /// The name of a link.
+    fn link_name(&mut self, link: ConnectionLink) -> String {
+        let client = self.peers.clients.get(link.token);
+        client.map(|client| client.conn.name(link.id).to_string()).unwrap_or_default()
+    }
+
     /// The key that identifies a link across connections.
     fn link_key(&mut self, link: ConnectionLink) -> Option<LinkKey> {
         let client = self.peers.clients.get(link.token)?;
@@ -148,9 +172,13 @@
 
     /// Handles the attach of a link on which the client receives, from a class or from a reply node.
     fn attach_receiving_link(&mut self, link: ConnectionLink, attach: Box<Attach>) {
+        let bytes = receiving_link_bytes(&self.link_name(link), &attach);
         let source = attach.source.clone().unwrap_or_default();
         if source.dynamic == Some(true) {
-            return self.attach_reply_link(link, attach, source);
+            return match self.reserve_link(link, bytes) {
+                Ok(()) => self.attach_reply_link(link, attach, source),
+                Err(error) => self.refuse(link, error),
+            };
         }
         let class = match self.authorize(link, AddressField::Source, source.address.as_deref()) {
             Ok(class) => class,
@@ -160,6 +188,9 @@
             let error = retry_error(condition::RESOURCE_LIMIT_EXCEEDED, "the node leaves", RETRY_AFTER_MS);
             return self.refuse(link, error);
         }
+        if let Err(error) = self.reserve_link(link, bytes) {
+            return self.refuse(link, error);
+        }
         let request_id = self.start_receiving_request(class, &attach);
         let forwarder = self.forwarding.add_forwarder(request_id, link, attach);
         if let Some(client) = self.peers.clients.get(link.token) {
--- a/src/frontend/amqp/clients/client.rs
+++ b/src/frontend/amqp/clients/client.rs
@@ -24,6 +24,8 @@
     pub(super) is_paused: bool,
     pub(super) address: Option<IpAddr>,
     pub(super) links: FastHashMap<LinkId, ClientLink>,
+    /// The memory that is counted for each link.
+    pub(super) link_bytes: FastHashMap<LinkId, usize>,
     /// The number of unanswered requests whose link is attached.
     open_requests: usize,
     identity: Rc<Identity>,
@@ -118,6 +120,7 @@
             is_paused: false,
             address,
             links: FastHashMap::default(),
+            link_bytes: FastHashMap::default(),
             open_requests: 0,
             identity: Rc::new(Identity::default()),
             tls,
--- a/src/frontend/amqp/clients/mod.rs
+++ b/src/frontend/amqp/clients/mod.rs
@@ -11,6 +11,7 @@
 use super::connection_link::ConnectionLink;
 use super::fast_map::FastHashMap;
 use super::forwarder_id::ForwarderId;
+use super::link_memory::{LinkMemory, LinkMemoryFull};
 use super::message_buffer::MessageBuffer;
 use crate::frontend::tls::TlsConnection;
 use crate::frontend::FrontendContext;
@@ -39,6 +40,7 @@
     by_token: FastHashMap<Token, Box<Client>>,
     connections_by_address: FastHashMap<IpAddr, usize>,
     subscriber_links: SubscriberLinks,
+    link_memory: LinkMemory,
     /// The connections that may have pending output, in the order in which they were marked.
     dirty: Vec<Token>,
     /// The clients whose input is not read because they hold much of the buffered messages and the limit is reached.
@@ -75,6 +77,7 @@
     pub fn remove(&mut self, token: Token) -> Option<Box<Client>> {
         let client = self.by_token.remove(&token)?;
         self.paused.retain(|paused| *paused != token);
+        self.link_memory.remove(token);
         if let Some(address) = client.address {
             self.decrement_connection_count(address);
         }
@@ -119,6 +122,28 @@
         tokens
     }
 
+    /// Counts the memory of a link that a client attaches.
+    ///
+    /// # Errors
+    /// The links of all clients have reached `max_bytes`, and this client has its fair share.
+    pub fn reserve_link(
+        &mut self,
+        at: ConnectionLink,
+        bytes: usize,
+        max_bytes: usize,
+    ) -> Result<(), LinkMemoryFull> {
+        let clients = self.by_token.len();
+        let Some(client) = self.by_token.get_mut(&at.token) else { return Ok(()) };
+        self.link_memory.add(at.token, bytes, clients, max_bytes)?;
+        client.link_bytes.insert(at.id, bytes);
+        Ok(())
+    }
+
+    /// The memory that is counted for all links.
+    pub fn link_bytes(&self) -> usize {
+        self.link_memory.total()
+    }
+
     /// Adds a sending link that was attached.
     pub fn add_sending_link(&mut self, at: ConnectionLink, link: ClientSendingLink) {
         let Some(client) = self.by_token.get_mut(&at.token) else { return };
@@ -130,6 +155,7 @@
     pub fn remove_link(&mut self, at: ConnectionLink) -> Option<ClientLink> {
         let client = self.by_token.get_mut(&at.token)?;
         let link = client.links.remove(&at.id)?;
+        self.link_memory.subtract(at.token, client.link_bytes.remove(&at.id).unwrap_or(0));
         if matches!(link, ClientLink::Sending(_)) {
             self.subscriber_links.remove(client.identity().subscriber(), 1);
         }
--- a/src/frontend/amqp/config.rs
+++ b/src/frontend/amqp/config.rs
@@ -58,6 +58,10 @@
     /// The maximum number of octets buffered for all messages together.
     #[serde(rename = "max_held")]
     pub max_buffered_bytes: usize,
+    /// The maximum memory of the links of all clients, in octets. At the limit, a client may attach links up to its fair
+    /// share of it.
+    #[serde(rename = "max_link_memory")]
+    pub max_link_memory_bytes: usize,
     /// The maximum number of connections from one client address.
     #[serde(rename = "peer_connections")]
     pub max_connections_per_address: usize,
@@ -179,6 +183,7 @@
             max_message_bytes: 1024 * 1024,
             max_retryable_bytes: 64 * 1024,
             max_buffered_bytes: 8 * 1024 * 1024,
+            max_link_memory_bytes: 24 * 1024 * 1024,
             max_connections_per_address: 1024,
             client_idle_ms: 10_000,
             server_idle_ms: 4_500,
--- a/src/frontend/amqp/message_buffer.rs
+++ b/src/frontend/amqp/message_buffer.rs
@@ -3,7 +3,7 @@
 //! All clients share one limit. A client that holds little is read even when the limit is reached, so that no client
 //! can stop the others by what it holds itself. This module performs no I/O.
 
-use super::fast_map::FastHashMap;
+use super::client_octets::{ClientOctets, LargestClient};
 use crate::net::Token;
 
 /// A client that holds fewer octets than this is always read.
@@ -14,40 +14,20 @@
 /// The numbers of buffered octets.
 #[derive(Default)]
 pub struct MessageBuffer {
-    total: usize,
+    octets: ClientOctets,
     peak: usize,
-    /// The octets of each client's messages. No entry is 0.
-    by_client: FastHashMap<Token, usize>,
-}
-
-/// The client that holds the most octets.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LargestClient {
-    /// The socket of the client's connection.
-    pub token: Token,
-    /// The octets of its messages.
-    pub bytes: usize,
 }
 
 impl MessageBuffer {
     /// Adds octets that a client has sent.
     pub fn add(&mut self, client: Token, octets: usize) {
-        if octets == 0 {
-            return;
-        }
-        *self.by_client.entry(client).or_default() += octets;
-        self.total += octets;
-        self.peak = self.peak.max(self.total);
+        self.octets.add(client, octets);
+        self.peak = self.peak.max(self.total());
     }
 
     /// Subtracts octets of a client that are no longer needed.
     pub fn subtract(&mut self, client: Token, octets: usize) {
-        self.total -= octets;
-        let Some(bytes) = self.by_client.get_mut(&client) else { return };
-        *bytes -= octets;
-        if *bytes == 0 {
-            self.by_client.remove(&client);
-        }
+        self.octets.subtract(client, octets);
     }
 
     /// Counts octets for another connection: the one on which their delivery was resumed.
@@ -58,7 +38,7 @@
 
     /// The octets of all messages.
     pub fn total(&self) -> usize {
-        self.total
+        self.octets.total()
     }
 
     /// The peak of [`MessageBuffer::total`].
@@ -68,14 +48,12 @@
 
     /// The octets of a client's messages.
     pub fn of_client(&self, client: Token) -> usize {
-        self.by_client.get(&client).copied().unwrap_or(0)
+        self.octets.of_client(client)
     }
 
     /// The client that holds the most octets; among equals, the one with the lowest token.
     pub fn largest_client(&self) -> Option<LargestClient> {
-        let clients =
-            self.by_client.iter().map(|(token, bytes)| LargestClient { token: *token, bytes: *bytes });
-        clients.max_by_key(|client| (client.bytes, std::cmp::Reverse(client.token)))
+        self.octets.largest_client()
     }
 
     /// Whether a client holds so little that it is read, and granted credit, whatever the others hold.
@@ -87,7 +65,7 @@
     /// Above, a client may hold as much as is left of a reserve, which shrinks as it is used, and
     /// [`MIN_CLIENT_BYTES`] in any case.
     pub fn may_receive(&self, client: Token, max_bytes: usize) -> bool {
-        self.total < max_bytes
+        self.total() < max_bytes
             || self.holds_little(client)
             || self.of_client(client) < self.remaining_reserve(max_bytes)
     }
@@ -95,14 +73,14 @@
     /// Whether a client that was not read for lack of memory is read again. A client that holds much waits until a
     /// quarter of `max_bytes` is free, so that reading does not stop again with each frame.
     pub fn may_resume(&self, client: Token, max_bytes: usize) -> bool {
-        self.total < resume_threshold(max_bytes)
+        self.total() < resume_threshold(max_bytes)
             || self.holds_little(client)
             || self.of_client(client) < self.remaining_reserve(max_bytes) / 2
     }
 
     /// The number of octets up to the end of the reserve, which follows `max_bytes`.
     fn remaining_reserve(&self, max_bytes: usize) -> usize {
-        (max_bytes + max_bytes / RESERVE_DIVISOR).saturating_sub(self.total)
+        (max_bytes + max_bytes / RESERVE_DIVISOR).saturating_sub(self.total())
     }
 }
 
--- a/src/frontend/amqp/message_buffer/tests.rs
+++ b/src/frontend/amqp/message_buffer/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the limit on buffered octets and of its division among clients.
 
-use super::{LargestClient, MessageBuffer, MIN_CLIENT_BYTES};
+use super::{MessageBuffer, MIN_CLIENT_BYTES};
+use crate::frontend::amqp::client_octets::LargestClient;
 use crate::net::token_for_tests as token;
 
 const MAX_BYTES: usize = 160_000;
--- a/src/frontend/amqp/mod.rs
+++ b/src/frontend/amqp/mod.rs
@@ -16,6 +16,7 @@
 mod class_names;
 mod client_events;
 mod client_links;
+mod client_octets;
 mod clients;
 mod config;
 mod connection_link;
@@ -26,6 +27,7 @@
 mod forwarder_id;
 mod forwarding;
 mod info;
+mod link_memory;
 mod message_buffer;
 mod message_octets;
 mod nonce;
@@ -287,7 +289,7 @@
         Some(format!(
             "clients={} servers={} forwarders={} forwarded={} buffered_bytes={} max_buffered_bytes={} \
              aborted={} logins_refused={} remembered={} resumed={} fate_unknown={} paused={} \
-             largest_client_bytes={} incomplete_expired={}",
+             largest_client_bytes={} incomplete_expired={} link_bytes={}",
             self.clients.len(),
             self.servers.connection_count(),
             self.forwarding.len(),
@@ -302,6 +304,7 @@
             self.clients.paused_count(),
             deliveries.largest_client_bytes,
             deliveries.expired_incomplete,
+            self.clients.link_bytes(),
         ))
     }
 }
