Blame no server for an attempt whose client has not completed its message

Cause: the time-out of an attempt with an incomplete message counted as a failed connection of its server; the servers were ejected (attempt_connect_failed=40, rejected_unsent=73). Change: such an attempt ends as not sent while its message is incomplete.

--- a/src/frontend/amqp/deliveries.rs
+++ b/src/frontend/amqp/deliveries.rs
@@ -134,6 +134,16 @@
         Ok(())
     }
 
+    /// The outcome of an attempt that the node ends before its last octet is sent. While the client has not completed
+    /// its message, the server cannot be blamed for that.
+    pub fn unsent_outcome(&self) -> Outcome {
+        if self.is_complete {
+            Outcome::ConnectFailed
+        } else {
+            Outcome::NotSent
+        }
+    }
+
     /// Ends the current attempt and returns it.
     pub fn end_attempt(&mut self) -> Option<Attempt> {
         self.attempt.take()
--- a/src/frontend/amqp/delivery_requests/mod.rs
+++ b/src/frontend/amqp/delivery_requests/mod.rs
@@ -150,10 +150,11 @@
     ) -> Outcome {
         let Some(delivery) = self.deliveries.get_mut(request_id) else { return Outcome::Cancelled };
         let Some(attempt) = delivery.end_attempt() else { return Outcome::Cancelled };
+        let unsent_outcome = delivery.unsent_outcome();
         match attempt.stage {
             AttemptStage::Queued => {
                 servers.dequeue(attempt.server, delivery.class, delivery.link.token, request_id);
-                Outcome::ConnectFailed
+                unsent_outcome
             }
             AttemptStage::Sending { link, .. } => {
                 self.aborted += 1;
@@ -161,7 +162,7 @@
                     connection.conn.abort(link.id);
                 }
                 servers.free_sending_link(attempt.server, delivery.class, request_id);
-                Outcome::ConnectFailed
+                unsent_outcome
             }
             AttemptStage::Sent { link, delivery_id, end } => {
                 let is_written = ctx.net.bytes_written(link.token) >= end;
--- a/tests/amqp_memory.rs
+++ b/tests/amqp_memory.rs
@@ -27,6 +27,8 @@
 /// The body of a usual delivery.
 const USUAL: &[u8] = b"usual";
 const USUAL_DELIVERIES: u32 = 10;
+/// More clients that stop within a message than failures for which a server is ejected.
+const STOPPED_CLIENTS: usize = 20;
 
 fn start_bench() -> TestNode {
     TestNode::start_with_servers(PROGRAM, vec![listener()], Some(AMQP_SETTINGS))
@@ -272,3 +274,21 @@
     assert!(matches!(client.read_frame(), NextFrame::Ended | NextFrame::Reset));
     assert!(stopped.elapsed() < ERROR_WITHIN, "the close took {:?}", stopped.elapsed());
 }
+
+/// Regression: attempts whose clients stopped within their messages timed out and counted as failures of the servers. These
+/// were ejected, and all other clients of the class were rejected.
+#[rstest]
+fn clients_that_stop_within_a_message_eject_no_server() {
+    let mut bench = start_bench();
+    start_server(&bench);
+    let mut message = message_with_key(1_200, "7f3a", &vec![7; TRANSFER_OCTETS]);
+    message.truncate(TRANSFER_OCTETS);
+    let mut stopped: Vec<AmqpPeer> = (0..STOPPED_CLIENTS).map(|_| connect_with_links(&bench, 1)).collect();
+    stopped.iter_mut().for_each(|client| send_incomplete(client, 0, &message));
+    for client in &mut stopped {
+        let state = client.receive_delivery_state();
+        assert!(matches!(state, State::Modified { delivery_failed: false, .. }), "{state:?}");
+    }
+    send_usual_deliveries(&bench);
+    assert_eq!(bench.counter("attempt_connect_failed"), 0, "no failure of the server is counted");
+}
