Notice that an AMQP client has left while it is not read

Cause: the end of a stream was noticed by reading up to it only, and such a client is not read. Change: epoll reports the end beside unread input (EPOLLRDHUP, for AMQP clients only); the client's requests are abandoned but for resumable links and settled messages, and the rest of its input starts nothing.

--- a/src/frontend/amqp/client_events.rs
+++ b/src/frontend/amqp/client_events.rs
@@ -82,6 +82,7 @@
         let settings = config.client_settings(&self.info.container);
         let conn = Connection::accept(self.ctx.now, settings, mechanisms);
         net.set_read_limit(token, config.read_ahead_bytes());
+        net.watch_peer_end(token);
         let address = net.peer_addr(token).map(|peer| peer.ip());
         let max_per_address = config.max_connections_per_address;
         if self.peers.clients.insert(token, conn, tls, address, max_per_address).is_err() {
@@ -105,9 +106,28 @@
         self.requests.warn_buffer_full(self.ctx.now, self.peers.clients, self.peers.config);
     }
 
+    /// Handles the end of a client's stream before all of its input is read. The client waits for no answer any more, so
+    /// its requests are abandoned, except those on links that it may resume, and no further ones are started. The
+    /// remaining input is read without limits, because none of it is buffered.
+    fn on_departed(&mut self, token: Token) {
+        let Some(client) = self.peers.clients.get(token) else { return };
+        if !client.depart() {
+            return;
+        }
+        self.peers.clients.resume(token);
+        self.requests.on_client_departed(self.ctx, &mut self.peers, token);
+    }
+
     /// Processes a client's input, unless its pending output or the buffered messages have reached their limit.
     fn read(&mut self, token: Token) {
-        if self.ctx.net.pending_output_bytes(token) >= OUTPUT_HIGH_WATERMARK_BYTES {
+        let is_output_full = self.ctx.net.pending_output_bytes(token) >= OUTPUT_HIGH_WATERMARK_BYTES;
+        if self.ctx.net.has_peer_ended(token) {
+            if is_output_full {
+                // The client reads no answers any more.
+                return self.on_disconnected(token);
+            }
+            self.on_departed(token);
+        } else if is_output_full {
             return self.ctx.net.update_interest(token);
         }
         // Unprocessed plaintext has the same limit as unprocessed input in the socket's buffer.
@@ -152,7 +172,8 @@
         let mut rest = &bytes[..];
         let mut fault = None;
         while let Some(client) = self.peers.clients.get(token) {
-            if !self.requests.buffer().may_receive(token, self.peers.config.max_buffered_bytes) {
+            let may_receive = self.requests.buffer().may_receive(token, self.peers.config.max_buffered_bytes);
+            if !may_receive && !client.has_departed() {
                 self.pause(token);
                 break;
             }
--- a/src/frontend/amqp/client_links.rs
+++ b/src/frontend/amqp/client_links.rs
@@ -184,7 +184,9 @@
             Ok(class) => class,
             Err(error) => return self.refuse(link, error),
         };
-        if self.peers.clients.is_draining() {
+        let client = self.peers.clients.get(link.token);
+        let has_departed = client.is_some_and(|client| client.has_departed());
+        if has_departed || self.peers.clients.is_draining() {
             let error = retry_error(condition::RESOURCE_LIMIT_EXCEEDED, "the node leaves", RETRY_AFTER_MS);
             return self.refuse(link, error);
         }
--- a/src/frontend/amqp/clients/client.rs
+++ b/src/frontend/amqp/clients/client.rs
@@ -20,6 +20,8 @@
     pub conn: Connection,
     /// Whether the connection is listed among those that may have pending output.
     pub(super) is_dirty: bool,
+    /// Whether the client has ended its stream, while some of its input may be unprocessed.
+    has_departed: bool,
     /// Whether the client is not read because it holds much of the buffered messages and the limit is reached.
     pub(super) is_paused: bool,
     pub(super) address: Option<IpAddr>,
@@ -117,6 +119,7 @@
         Client {
             conn,
             is_dirty: false,
+            has_departed: false,
             is_paused: false,
             address,
             links: FastHashMap::default(),
@@ -133,6 +136,21 @@
         }
     }
 
+    /// Records that the client has ended its stream. Returns false if that is known already.
+    pub fn depart(&mut self) -> bool {
+        !std::mem::replace(&mut self.has_departed, true)
+    }
+
+    /// Whether the client has ended its stream, while some of its input may be unprocessed.
+    pub fn has_departed(&self) -> bool {
+        self.has_departed
+    }
+
+    /// Whether requests of this client are unanswered.
+    pub fn has_open_requests(&self) -> bool {
+        self.open_requests > 0
+    }
+
     /// The client's identity; the default identity until the client has authenticated.
     pub fn identity(&self) -> &Identity {
         &self.identity
--- a/src/frontend/amqp/clients/mod.rs
+++ b/src/frontend/amqp/clients/mod.rs
@@ -217,6 +217,14 @@
         }
     }
 
+    /// Reads a client again that was paused.
+    pub fn resume(&mut self, token: Token) {
+        self.paused.retain(|paused| *paused != token);
+        if let Some(client) = self.by_token.get_mut(&token) {
+            client.is_paused = false;
+        }
+    }
+
     /// Records the recent activity of a client whose input may not have been processed. While input of a paused client
     /// waits, its silence cannot be measured.
     pub fn record_activity(&mut self, ctx: &mut FrontendContext, token: Token) {
--- a/src/frontend/amqp/deliveries.rs
+++ b/src/frontend/amqp/deliveries.rs
@@ -5,6 +5,7 @@
 use super::message_buffer::MessageBuffer;
 use super::message_octets::{MessageOctets, StartDiscarded};
 use crate::model::{Outcome, RequestId, ServerId};
+use crate::net::Token;
 use sparbank_amqp::{Head, Tag};
 use sparbank_time::MonotonicTime;
 
@@ -26,6 +27,8 @@
     pub message: MessageOctets,
     /// Whether the last transfer has been received.
     pub is_complete: bool,
+    /// Whether the client has settled the delivery itself and waits for no outcome.
+    pub is_settled: bool,
     /// The current attempt, if there is one.
     attempt: Option<Attempt>,
 }
@@ -46,6 +49,8 @@
     pub octets: Vec<u8>,
     /// Whether the last transfer has been received.
     pub is_complete: bool,
+    /// Whether the client has settled the delivery itself.
+    pub is_settled: bool,
 }
 
 /// Where the answer of a delivery is sent.
@@ -103,6 +108,7 @@
             head: received.head,
             message: MessageOctets::new(received.octets),
             is_complete: received.is_complete,
+            is_settled: received.is_settled,
             attempt: None,
         }
     }
@@ -269,6 +275,15 @@
         Some(&attempt.stage)
     }
 
+    /// The requests of a client's connection that wait for an outcome, in the order of their ids.
+    pub fn unsettled_of_client(&self, client: Token) -> Vec<RequestId> {
+        let is_of_client = |delivery: &Delivery| delivery.link.token == client && !delivery.is_settled;
+        let of_client = self.by_request.iter().filter(|(_, delivery)| is_of_client(delivery));
+        let mut requests: Vec<RequestId> = of_client.map(|(request_id, _)| *request_id).collect();
+        requests.sort_unstable();
+        requests
+    }
+
     /// The requests whose attempt at one of these servers was not sent completely, in the order of their ids.
     pub fn unsent_at(&self, servers: &[ServerId]) -> Vec<RequestId> {
         let is_unsent = |attempt: &Attempt| {
--- a/src/frontend/amqp/delivery_requests/link_losses.rs
+++ b/src/frontend/amqp/delivery_requests/link_losses.rs
@@ -91,6 +91,22 @@
         self.drop_incomplete(at.token, &link.incomplete);
     }
 
+    /// Abandons the requests of a client that has ended its stream, except those on links that it may resume.
+    pub fn on_client_departed(&mut self, ctx: &mut FrontendContext, peers: &mut Peers<'_>, token: Token) {
+        if !peers.clients.get(token).is_some_and(|client| client.has_open_requests()) {
+            return;
+        }
+        for request_id in self.deliveries.unsettled_of_client(token) {
+            let Some(delivery) = self.deliveries.get(request_id) else { continue };
+            let (link, is_complete) = (delivery.link.id, delivery.is_complete);
+            let sending_link = peers.clients.get(token).and_then(|client| client.sending_link(link));
+            let may_be_resumed = is_complete && sending_link.is_some_and(|link| link.is_retained);
+            if !may_be_resumed {
+                self.abandon(ctx, peers, request_id);
+            }
+        }
+    }
+
     /// Handles the loss of a client's connection. Requests on resumable links continue; all others are abandoned.
     pub fn on_connection_lost(
         &mut self,
--- a/src/frontend/amqp/delivery_requests/transfers.rs
+++ b/src/frontend/amqp/delivery_requests/transfers.rs
@@ -69,6 +69,10 @@
         let Some(sending_link) = self.sending_link(link) else { return };
         let class = sending_link.class;
         let incomplete = std::mem::take(&mut sending_link.incomplete);
+        if !transfer.settled && self.has_departed(link.token) {
+            return self.ignore_transfer(link, &transfer, &incomplete);
+        }
+        let Some(sending_link) = self.sending_link(link) else { return };
         let has_earlier_deliveries =
             transfer.resume || sending_link.is_retained || !sending_link.unknown_deliveries.is_empty();
         let may_be_resumed = has_earlier_deliveries && transfer.first && !transfer.aborted;
@@ -87,6 +91,23 @@
         self.requests.replenish_credit(&mut self.peers, link);
     }
 
+    fn has_departed(&mut self, client: Token) -> bool {
+        self.peers.clients.get(client).is_some_and(|client| client.has_departed())
+    }
+
+    /// Ignores a transfer of a client that has ended its stream: nobody waits for the outcome.
+    fn ignore_transfer(
+        &mut self,
+        link: ConnectionLink,
+        transfer: &IncomingTransfer<'_>,
+        incomplete: &IncompleteDelivery,
+    ) {
+        self.on_aborted(link.token, incomplete);
+        if !transfer.last {
+            self.set_incomplete(link, IncompleteDelivery::Ignored);
+        }
+    }
+
     pub(super) fn sending_link(&mut self, link: ConnectionLink) -> Option<&mut ClientSendingLink> {
         self.peers.clients.get(link.token)?.sending_link(link.id)
     }
@@ -261,6 +282,7 @@
             head,
             octets: bytes,
             is_complete: received.transfer.last,
+            is_settled: received.transfer.settled,
         };
         self.requests.deliveries.insert(request_id, delivery.into());
         Ok(request_id)
--- a/src/net/reactor.rs
+++ b/src/net/reactor.rs
@@ -121,6 +121,9 @@
     fn perform_io(&mut self, token: Token, flags: Interest) {
         let Some(socket) = self.sockets.store.get(token) else { return };
         let hung_up = socket.is_read_closed() && flags.contains(Interest::HUP);
+        if flags.contains(Interest::RDHUP) && self.notice_peer_end(token) {
+            self.sockets.store.emit(token, SocketEventKind::Readable);
+        }
         if flags.contains(Interest::IN) {
             self.sockets.read(token);
         } else if flags.contains(Interest::ERR) || hung_up {
@@ -132,6 +135,19 @@
         self.sockets.store.update_interest(token);
     }
 
+    fn notice_peer_end(&mut self, token: Token) -> bool {
+        self.sockets.store.get_mut(token).is_some_and(Socket::notice_peer_end)
+    }
+
+    /// Requests an event once the peer has closed its write side, also while input that precedes the end is not read:
+    /// [`SocketReactor::has_peer_ended`] is true from then on.
+    pub fn watch_peer_end(&mut self, token: Token) {
+        if let Some(socket) = self.sockets.store.get_mut(token) {
+            socket.watch_peer_end();
+        }
+        self.sockets.store.update_interest(token);
+    }
+
     /// Starts a connection. Bytes sent before it is established are buffered
     /// ([`SocketReactor::take_established`]).
     ///
--- a/src/net/reactor/queries.rs
+++ b/src/net/reactor/queries.rs
@@ -61,6 +61,12 @@
         self.bytes_written(token) > 0
     }
 
+    /// Whether the peer has closed its write side. If the owner watches for it, this is true also while input that
+    /// precedes the end is unread.
+    pub fn has_peer_ended(&self, token: Token) -> bool {
+        self.socket(token).is_some_and(|socket| socket.has_peer_ended())
+    }
+
     /// Number of bytes written so far.
     pub fn bytes_written(&self, token: Token) -> u64 {
         self.socket(token).map_or(0, |socket| socket.buffers.bytes_written())
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -43,6 +43,17 @@
     ShutDown,
 }
 
+/// Whether the peer's end of stream is noticed while input that precedes it is unread.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PeerEnd {
+    /// It is noticed only once all input is read.
+    Unwatched,
+    /// It has not been noticed yet.
+    Watched,
+    /// The peer has closed its write side; input may still be unread.
+    Noticed,
+}
+
 /// How the connection was accepted, and whether its handshake is complete.
 struct AcceptInfo {
     /// The listener that accepted the connection.
@@ -66,6 +77,8 @@
     write_state: WriteState,
     /// The peer has closed its write side.
     read_closed: bool,
+    /// Whether the owner is notified of the peer's end before it has read all input.
+    peer_end: PeerEnd,
     /// When octets from the peer were last read, or when it last made room for buffered output.
     last_peer_activity: MonotonicTime,
     /// Reading and writing are suspended for lack of kernel memory.
@@ -86,6 +99,7 @@
             error: None,
             write_state: WriteState::Open,
             read_closed: false,
+            peer_end: PeerEnd::Unwatched,
             last_peer_activity: MonotonicTime::ZERO,
             is_paused: false,
             accept_info: AcceptInfo { listener: None, awaiting_handshake: false, uses_reserve: false },
@@ -154,9 +168,33 @@
         if connecting || self.buffers.pending_output_bytes() > 0 {
             interest |= Interest::OUT;
         }
+        if self.peer_end == PeerEnd::Watched && !self.read_closed {
+            interest |= Interest::RDHUP;
+        }
         interest
     }
 
+    /// Requests that the owner is notified of the peer's end of stream before it has read all input.
+    pub(super) fn watch_peer_end(&mut self) {
+        if self.peer_end == PeerEnd::Unwatched {
+            self.peer_end = PeerEnd::Watched;
+        }
+    }
+
+    /// Records that epoll has reported the peer's end of stream. Returns whether the owner is to be notified.
+    pub(super) fn notice_peer_end(&mut self) -> bool {
+        let is_watched = self.peer_end == PeerEnd::Watched && self.is_open();
+        if is_watched {
+            self.peer_end = PeerEnd::Noticed;
+        }
+        is_watched
+    }
+
+    /// Whether the peer has closed its write side, as far as it has been noticed.
+    pub(super) fn has_peer_ended(&self) -> bool {
+        self.read_closed || self.peer_end == PeerEnd::Noticed
+    }
+
     /// Marks the connection as established.
     pub(super) fn establish(&mut self) {
         self.state = SocketState::Open;
--- a/tests/crowds_and_floods.rs
+++ b/tests/crowds_and_floods.rs
@@ -221,15 +221,7 @@
                 let attach = sending_attach(1, format!("link-{number}"));
                 [frame(0, attach.into(), &[]), frame(0, detach(1).into(), &[])].concat()
             }
-            Flood::Sessions => {
-                let begin = Begin {
-                    next_outgoing_id: Some(0),
-                    incoming_window: Some(100),
-                    outgoing_window: Some(100),
-                    ..Default::default()
-                };
-                [frame(1, begin.into(), &[]), frame(1, End::default().into(), &[])].concat()
-            }
+            Flood::Sessions => session_frames(),
             Flood::Echoes => {
                 let flow = Flow {
                     next_incoming_id: Some(0),
@@ -259,18 +251,29 @@
                 };
                 frame(0, disposition.into(), &[])
             }
-            Flood::ShortProperties => {
-                let property = |key: u32| (Value::Symbol(format!("p{key}")), Value::Null);
-                let properties = Some(Value::Map((0..1_500).map(property).collect()));
-                let mut attach = sending_attach(1, format!("link-{number}"));
-                attach.target = None;
-                [frame(0, Attach { properties, ..attach }.into(), &[]), frame(0, detach(1).into(), &[])]
-                    .concat()
-            }
+            Flood::ShortProperties => refused_attach_frames(number),
         }
     }
 }
 
+fn session_frames() -> Vec<u8> {
+    let begin = Begin {
+        next_outgoing_id: Some(0),
+        incoming_window: Some(100),
+        outgoing_window: Some(100),
+        ..Default::default()
+    };
+    [frame(1, begin.into(), &[]), frame(1, End::default().into(), &[])].concat()
+}
+
+fn refused_attach_frames(number: u32) -> Vec<u8> {
+    let property = |key: u32| (Value::Symbol(format!("p{key}")), Value::Null);
+    let properties = Some(Value::Map((0..1_500).map(property).collect()));
+    let attach = Attach { properties, target: None, ..sending_attach(1, format!("link-{number}")) };
+    let detach = Detach { handle: Some(1), closed: Some(true), ..Default::default() };
+    [frame(0, attach.into(), &[]), frame(0, detach.into(), &[])].concat()
+}
+
 /// Writes at full speed until the time is over or the node ends the connection, and reads what the node answers if
 /// `reads` is set.
 fn flood(mut stream: TcpStream, reads: bool, octets: impl Fn(u32) -> Vec<u8>) -> u32 {
