--- a/crates/test-support/src/process.rs
+++ b/crates/test-support/src/process.rs
@@ -150,6 +150,15 @@
         self.process.id()
     }
 
+    /// The peak of the process's resident memory, in octets.
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.id());
+        let status = std::fs::read_to_string(path).expect("the status of the process");
+        let line = status.lines().find(|line| line.starts_with("VmHWM")).expect("VmHWM");
+        let kilobytes = line.split_whitespace().nth(1).and_then(|number| number.parse::<u64>().ok());
+        kilobytes.expect("a number of kB") * 1024
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         self.process.signal(signal).expect("failed to signal the process");
--- a/tests/amqp_link_memory.rs
+++ b/tests/amqp_link_memory.rs
@@ -63,13 +63,6 @@
     }
 }
 
-fn resident_bytes(bench: &TestNode) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", bench.process.id())).expect("the status");
-    let line = status.lines().find(|line| line.starts_with("VmHWM")).expect("VmHWM");
-    let kilobytes: u64 = line.split_whitespace().nth(1).expect("a number").parse().expect("a number");
-    kilobytes * 1024
-}
-
 /// Reads until the node refuses a link, or until it has answered this many.
 fn read_refusal(client: &mut AmqpPeer, links: u32) -> Option<Box<Detach>> {
     let mut attached = 0;
@@ -100,7 +93,7 @@
     );
     let mut bench = TestNode::start_with_servers(PROGRAM, vec![listener()], Some(&settings));
     let addr = bench.amqp_addr.expect("AMQP is on");
-    let before = resident_bytes(&bench);
+    let before = bench.process.peak_memory();
     let mut greedy: Vec<AmqpPeer> = (0..CLIENTS).map(|_| AmqpPeer::client(addr, None)).collect();
     for client in &mut greedy {
         (0..LINKS).for_each(|handle| client.send_performative(content.attach(handle)));
@@ -115,7 +108,7 @@
     assert_eq!(read_refusal(&mut honest, HONEST_LINKS), None, "its share is granted");
     let link_bytes = counter_value(&bench.frontend_counters("amqp"), "link_bytes");
     assert!(link_bytes <= 2 * MAX_LINK_MEMORY, "{link_bytes} octets are counted");
-    let growth = resident_bytes(&bench) - before;
+    let growth = bench.process.peak_memory() - before;
     assert!(growth <= 2 * MAX_LINK_MEMORY + OTHER_MEMORY, "the process has grown by {growth} octets");
     drop(greedy);
     while counter_value(&bench.frontend_counters("amqp"), "clients") > 1 {}
--- a/tests/crowds_and_floods.rs
+++ b/tests/crowds_and_floods.rs
@@ -29,14 +29,6 @@
 const USUAL_DELIVERIES: u32 = 40;
 const DELIVERY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The peak of the resident memory of the node's process, in octets.
-fn peak_memory(bench: &TestNode) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", bench.process.id())).expect("the status");
-    let line = status.lines().find(|line| line.starts_with("VmHWM")).expect("VmHWM");
-    let kilobytes: u64 = line.split_whitespace().nth(1).expect("a number").parse().expect("a number");
-    kilobytes * 1024
-}
-
 /// Starts a node with a server that accepts each link and each delivery.
 fn start_amqp() -> TestNode {
     let bench = TestNode::start_with_servers(PROGRAM, vec![listener()], Some(r#"{"listen":"127.0.0.1:0"}"#));
@@ -169,11 +161,11 @@
 #[case::within_a_body(StopsWithin::Body)]
 fn a_crowd_of_amqp_clients_that_stop_holds_little_memory(#[case] stop: StopsWithin) {
     let bench = start_amqp();
-    let before = peak_memory(&bench);
+    let before = bench.process.peak_memory();
     let addr = bench.amqp_addr.expect("AMQP is on");
     let crowd: Vec<AmqpPeer> = (0..CROWD).map(|_| start_input(addr, stop)).collect();
     send_usual_deliveries(&bench);
-    let growth = peak_memory(&bench) - before;
+    let growth = bench.process.peak_memory() - before;
     assert!(growth < CROWD as u64 * MAX_BYTES_PER_CLIENT + OTHER_MEMORY, "grown by {growth} octets");
     drop(crowd);
 }
@@ -182,14 +174,14 @@
 #[rstest]
 fn a_crowd_of_text_clients_that_stop_holds_little_memory() {
     let bench = TestNode::start(PROGRAM, 1);
-    let before = peak_memory(&bench);
+    let before = bench.process.peak_memory();
     let half_line = format!("{},x={}", request_line(1), "7".repeat(3_800));
     let mut crowd: Vec<Peer> = (0..CROWD).map(|_| Peer::connect(bench.text_addr)).collect();
     crowd.iter_mut().for_each(|client| {
         client.send(&half_line);
     });
     use_text_session(&bench, 2);
-    let growth = peak_memory(&bench) - before;
+    let growth = bench.process.peak_memory() - before;
     assert!(growth < CROWD as u64 * MAX_BYTES_PER_CLIENT + OTHER_MEMORY, "grown by {growth} octets");
 }
 
@@ -314,14 +306,14 @@
     #[values(true, false)] reads: bool,
 ) {
     let mut bench = start_amqp();
-    let before = peak_memory(&bench);
+    let before = bench.process.peak_memory();
     let mut client = AmqpPeer::client(bench.amqp_addr.expect("AMQP is on"), None);
     client.attach_sender(CLASS).expect("the class is known");
     let stream = client.peer.stream.try_clone().expect("a second handle");
     let flooding = std::thread::spawn(move || flood(stream, reads, |number| kind.octets(number)));
     send_usual_deliveries(&bench);
     assert!(flooding.join().expect("the flood ends") > 0);
-    let growth = peak_memory(&bench) - before;
+    let growth = bench.process.peak_memory() - before;
     assert!(growth < OTHER_MEMORY, "grown by {growth} octets");
     assert_eq!(bench.counter("unfinished_iterations"), 0);
 }
@@ -330,7 +322,7 @@
 #[rstest]
 fn a_flood_of_lines_on_one_text_session_delays_no_other_client(#[values(true, false)] reads: bool) {
     let mut bench = TestNode::start(PROGRAM, 1);
-    let before = peak_memory(&bench);
+    let before = bench.process.peak_memory();
     let mut client = bench.connect_client(&request_line(1));
     let (_, mut server) = accept_any(&bench.servers);
     establish(&mut client, &mut server);
@@ -343,7 +335,7 @@
     let flooding = std::thread::spawn(move || flood(stream, reads, |_| b"x\r\n".to_vec()));
     use_text_session(&bench, 2);
     assert!(flooding.join().expect("the flood ends") > 0);
-    let growth = peak_memory(&bench) - before;
+    let growth = bench.process.peak_memory() - before;
     assert!(growth < OTHER_MEMORY, "grown by {growth} octets");
     assert_eq!(bench.counter("unfinished_iterations"), 0);
 }
@@ -352,7 +344,7 @@
 #[rstest]
 fn a_flood_of_unsound_first_lines_delays_no_other_client() {
     let mut bench = TestNode::start(PROGRAM, 1);
-    let before = peak_memory(&bench);
+    let before = bench.process.peak_memory();
     let addr = bench.text_addr;
     let flooding = std::thread::spawn(move || {
         let (ends_at, mut count) = (Instant::now() + FLOOD_DURATION, 0);
@@ -366,7 +358,7 @@
     });
     use_text_session(&bench, 2);
     assert!(flooding.join().expect("the flood ends") > 0);
-    let growth = peak_memory(&bench) - before;
+    let growth = bench.process.peak_memory() - before;
     assert!(growth < OTHER_MEMORY, "grown by {growth} octets");
     assert!(bench.counter("malformed") > 0);
 }
